--- /dev/null
+++ b/telemetry/trace.go
@@ -0,0 +1,80 @@
+package telemetry
+
+import (
+	"context"
+	"os"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/sesamelift/sesamelift/settings"
+)
+
+// traceparentHeader is the W3C header name.
+const traceparentHeader = "traceparent"
+
+// NewTracing returns a tracer with the exporter that the settings select, and a
+// function that flushes and stops it. Without an exporter the tracer records
+// nothing.
+func NewTracing(ctx context.Context, program string, s settings.Tracing) (trace.Tracer, func(context.Context) error, error) {
+	exporter, err := newExporter(ctx, s)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "set up the span exporter")
+	}
+	if exporter == nil {
+		return noop.NewTracerProvider().Tracer(program), func(context.Context) error { return nil }, nil
+	}
+	sampler := sdktrace.ParentBased(sdktrace.TraceIDRatioBased(1 / float64(max(1, s.SampleOneIn))))
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sampler),
+		sdktrace.WithResource(resource.NewSchemaless(semconv.ServiceName(program))),
+	)
+	return provider.Tracer(program), provider.Shutdown, nil
+}
+
+func newExporter(ctx context.Context, s settings.Tracing) (sdktrace.SpanExporter, error) {
+	switch s.Exporter {
+	case "stdout":
+		return stdouttrace.New(stdouttrace.WithWriter(os.Stdout))
+	case "otlp":
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(s.Endpoint), otlptracehttp.WithInsecure())
+	}
+	return nil, nil
+}
+
+// Traceparent returns the W3C form of the span context in ctx, or an empty text
+// when there is none.
+func Traceparent(ctx context.Context) string {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ""
+	}
+	c := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, c)
+	return c[traceparentHeader]
+}
+
+// WithTraceparent returns a context that continues the trace of a W3C
+// traceparent. A malformed one is ignored.
+func WithTraceparent(ctx context.Context, traceparent string) context.Context {
+	if traceparent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceparentHeader: traceparent})
+}
+
+// TraceID returns the trace id in ctx, or an empty text when there is none.
+func TraceID(ctx context.Context) string {
+	sc := trace.SpanContextFromContext(ctx)
+	if !sc.HasTraceID() {
+		return ""
+	}
+	return sc.TraceID().String()
+}
