--- /dev/null
+++ b/ownership/expiry.go
@@ -0,0 +1,55 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+// byExpiry holds what is known of keys, grouped by the second in which they
+// expire, so that expiry does not scan all keys.
+type byExpiry map[int64]map[api.Key]*keyInfo
+
+type keyInfo struct {
+	holder  uint64 // incarnation that named the key in a handover, or 0
+	started []Started
+}
+
+func (b byExpiry) find(k api.Key) *keyInfo { return b[k.Expires().Unix()][k] }
+
+func (b byExpiry) entry(k api.Key) *keyInfo {
+	second := k.Expires().Unix()
+	m := b[second]
+	if m == nil {
+		m = map[api.Key]*keyInfo{}
+		b[second] = m
+	}
+	if m[k] == nil {
+		m[k] = &keyInfo{}
+	}
+	return m[k]
+}
+
+func (b byExpiry) expire(now time.Time) {
+	for second := range b {
+		if now.Unix() > second {
+			delete(b, second)
+		}
+	}
+}
+
+// add merges a record. A repeated or late acknowledgement does not turn a
+// finished task back into a running one.
+func (i *keyInfo) add(t Started) {
+	for j := range i.started {
+		o := &i.started[j]
+		if o.Task == t.Task && o.Agent == t.Agent && o.Worker == t.Worker {
+			if o.State == wire.StateRunning {
+				o.State = t.State
+			}
+			return
+		}
+	}
+	i.started = append(i.started, t)
+}
