Add platform client, contract test and stand-ins

Cause: entries, agents and the sheet need the platform's table, and every test of them needs a platform and a backend server that fail on demand.

Change: platform.Client speaks to the table and the object store over HTTP with If-Match. platform.Update does compare-and-set with a bound on conflicts and reads back after a lost reply; a repetition carries the same expected version, so that at most one write takes effect. platformtest holds the contract test. standin has both stand-ins with faults that can be set in process and by PUT /faults, and counts runs of each task.

Ruled out: taking any 503 as "not written", since an intermediary sends it after a request that reached the platform; a 5xx reply must say {"written": false}, everything else is in doubt. Recognising a restart of the agent by its connection: the backend server announces itself every 500 ms instead.

Conclusion: packages that use the platform can test against standin.

--- /dev/null
+++ b/standin/backend_task.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+// Headers of a task.
+const (
+	HeaderKey  = "Sesamelift-Key"
+	HeaderTask = "Sesamelift-Task"
+)
+
+// TaskBody is what the stand-in reads of the body of a task. Other fields are
+// ignored; the whole body comes back in the result.
+type TaskBody struct {
+	WorkMS float64 `json:"work_ms"`
+	Fail   bool    `json:"fail"`
+	// ResultBytes adds as many bytes to the result.
+	ResultBytes int `json:"result_bytes"`
+}
+
+// TaskResult is the result of a task.
+type TaskResult struct {
+	Service string          `json:"service"`
+	Type    string          `json:"type"`
+	Worker  string          `json:"worker"`
+	Echo    json.RawMessage `json:"echo"`
+	Padding string          `json:"padding,omitempty"`
+}
+
+// BackendStatus is served under /executions.
+type BackendStatus struct {
+	Total    int         `json:"total"`
+	Repeated []Execution `json:"repeated"`
+	Running  int         `json:"running"`
+	Peak     int         `json:"peak"`
+}
+
+func (b *Backend) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /tasks/{service}/{type}", b.serveTask)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if b.Faults().Unhealthy {
+			writeJSON(w, http.StatusServiceUnavailable, errorReply{Error: "stand-in is set to be unhealthy"})
+			return
+		}
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) {
+		now, peak := b.Running()
+		writeJSON(w, http.StatusOK, BackendStatus{Total: b.runs.Total(), Repeated: b.runs.Repeated(), Running: now, Peak: peak})
+	})
+	faultRoutes(mux, b.Faults, b.SetFaults)
+	return mux
+}
+
+func (b *Backend) serveTask(w http.ResponseWriter, r *http.Request) {
+	x, err := execution(r.Header)
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, errorReply{Error: err.Error()})
+		return
+	}
+	body, ok := readBody(w, r, api.MaxTaskBytes)
+	if !ok {
+		return
+	}
+	var task TaskBody
+	if err := json.Unmarshal(body, &task); err != nil {
+		writeJSON(w, http.StatusBadRequest, errorReply{Error: "task body: " + err.Error()})
+		return
+	}
+	f := b.begin(x)
+	defer b.end()
+	if f.FailAll || f.Hang {
+		b.refuse(w, r, f)
+		return
+	}
+	if !b.work(b.duration(x, task, f)) || f.DropAfterWork {
+		abort()
+	}
+	if task.Fail {
+		writeJSON(w, http.StatusInternalServerError, errorReply{Error: "the task asked to fail"})
+		return
+	}
+	writeJSON(w, http.StatusOK, TaskResult{
+		Service: r.PathValue("service"), Type: r.PathValue("type"), Worker: b.o.Name,
+		Echo: body, Padding: strings.Repeat("x", max(0, task.ResultBytes)+f.ResultBytes),
+	})
+}
+
+// begin records a run.
+func (b *Backend) begin(x Execution) BackendFaults {
+	b.runs.add(x)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running++
+	b.peak = max(b.peak, b.running)
+	return b.faults
+}
+
+func (b *Backend) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+	b.idleSince = time.Now()
+}
+
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, f BackendFaults) {
+	if f.FailAll {
+		writeJSON(w, http.StatusInternalServerError, errorReply{Error: "stand-in is set to fail all tasks"})
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case <-b.killed:
+	}
+	abort()
+}
+
+// work takes the time that the task needs, even when the caller has gone. It
+// returns false when the server was killed.
+func (b *Backend) work(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-b.killed:
+		return false
+	}
+}
+
+func (b *Backend) duration(x Execution, task TaskBody, f BackendFaults) time.Duration {
+	ms := max(0, task.WorkMS) / b.o.Speed
+	if f.SlowFactor > 0 {
+		ms *= f.SlowFactor
+	}
+	if f.StragglerShare > 0 && x.share(f.Seed) < f.StragglerShare {
+		factor := f.StragglerFactor
+		if factor == 0 {
+			factor = defaultStragglerFactor
+		}
+		ms *= factor
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// share maps a task to a number from 0 to 1, the same in each run.
+func (x Execution) share(seed uint64) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, seed))
+	_, _ = h.Write(x.Key[:])
+	_, _ = h.Write(binary.BigEndian.AppendUint16(nil, x.Task))
+	// The high bits of FNV vary little between short inputs that differ at the
+	// end; the multiplication spreads the low ones.
+	return float64(h.Sum64()*0x9e3779b97f4a7c15>>11) / (1 << 53)
+}
+
+func execution(h http.Header) (Execution, error) {
+	key, err := uuid.Parse(h.Get(HeaderKey))
+	if err != nil {
+		return Execution{}, errors.Wrapf(err, "header %s", HeaderKey)
+	}
+	task, err := strconv.ParseUint(h.Get(HeaderTask), 10, 16)
+	return Execution{Key: api.Key(key), Task: uint16(task)}, errors.Wrapf(err, "header %s", HeaderTask)
+}
--- /dev/null
+++ b/standin/backend_test.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+func startBackend(t *testing.T, o BackendOptions) (*Backend, context.CancelFunc, chan error) {
+	o.Address, o.Name = "127.0.0.1:0", "cleft-01"
+	b, err := NewBackend(o)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- b.Run(ctx) }()
+	t.Cleanup(func() { cancel(); b.Kill() })
+	return b, cancel, done
+}
+
+// run sends one task. The status is 0 when no reply came.
+func run(ctx context.Context, b *Backend, key api.Key, task int, body string) (int, string) {
+	req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+b.Addr()+"/tasks/cleft-assessor/moisture", strings.NewReader(body))
+	req.Header.Set(HeaderKey, key.String())
+	req.Header.Set(HeaderTask, fmt.Sprint(task))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(reply)
+}
+
+// Guards against faults that do not show as they would at a real server.
+func TestBackendFaults(t *testing.T) {
+	const body = `{"work_ms": 20, "cleft": 7}`
+	for _, tc := range []struct {
+		name         string
+		speed        float64
+		faults       BackendFaults
+		body         string
+		status       int
+		shortest     time.Duration
+		longest      time.Duration
+		minimumBytes int
+	}{
+		{"none", 1, BackendFaults{}, body, 200, 20 * time.Millisecond, time.Second, 10},
+		{"slow server", 0.1, BackendFaults{}, body, 200, 200 * time.Millisecond, time.Second, 10},
+		{"slow", 1, BackendFaults{SlowFactor: 10}, body, 200, 200 * time.Millisecond, time.Second, 10},
+		{"straggler", 1, BackendFaults{StragglerShare: 1, StragglerFactor: 10}, body, 200, 200 * time.Millisecond, time.Second, 10},
+		{"fail all", 1, BackendFaults{FailAll: true}, `{"work_ms": 3000}`, 500, 0, time.Second, 0},
+		{"task fails", 1, BackendFaults{}, `{"work_ms": 20, "fail": true}`, 500, 20 * time.Millisecond, time.Second, 0},
+		{"drop after work", 1, BackendFaults{DropAfterWork: true}, body, 0, 20 * time.Millisecond, time.Second, 0},
+		{"hang", 1, BackendFaults{Hang: true}, body, 0, 1500 * time.Millisecond, 3 * time.Second, 0},
+		{"oversized", 1, BackendFaults{ResultBytes: api.MaxResultBytes}, body, 200, 0, time.Second, api.MaxResultBytes},
+		{"result size of the task", 1, BackendFaults{}, `{"result_bytes": 5000}`, 200, 0, time.Second, 5000},
+		{"malformed", 1, BackendFaults{}, `{`, 400, 0, time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b, _, _ := startBackend(t, BackendOptions{Speed: tc.speed, Faults: tc.faults})
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			defer cancel()
+			key, began := api.NewKeyAt(time.Now(), 1), time.Now()
+			status, reply := run(ctx, b, key, 3, tc.body)
+			took := time.Since(began)
+			qt.Assert(t, status, qt.Equals, tc.status, qt.Commentf("%s", reply))
+			qt.Assert(t, took >= tc.shortest && took <= tc.longest, qt.IsTrue, qt.Commentf("took %v", took))
+			qt.Assert(t, len(reply) >= tc.minimumBytes, qt.IsTrue)
+			if status == 400 {
+				qt.Assert(t, b.Executions().Total(), qt.Equals, 0)
+				return
+			}
+			qt.Assert(t, b.Executions().Of(key), qt.DeepEquals, map[uint16]int{3: 1})
+			if status == 200 {
+				var r TaskResult
+				qt.Assert(t, json.Unmarshal([]byte(reply), &r), qt.IsNil)
+				qt.Assert(t, r.Worker+r.Service+r.Type, qt.Equals, "cleft-01cleft-assessormoisture")
+				qt.Assert(t, string(r.Echo), qt.JSONEquals, json.RawMessage(tc.body))
+			}
+		})
+	}
+}
+
+// Guards against a second run that is not seen, on one server or on two.
+func TestExecutionsSeeSecondRun(t *testing.T) {
+	shared := &Executions{}
+	one, _, _ := startBackend(t, BackendOptions{Executions: shared})
+	two, _, _ := startBackend(t, BackendOptions{Executions: shared})
+	key := api.NewKeyAt(time.Now(), 1)
+	for i, b := range []*Backend{one, two, one} {
+		status, _ := run(context.Background(), b, key, i%2, `{}`)
+		qt.Assert(t, status, qt.Equals, 200)
+	}
+	qt.Assert(t, shared.Repeated(), qt.DeepEquals, []Execution{{Key: key, Task: 0}})
+	qt.Assert(t, shared.Total(), qt.Equals, 3)
+}
+
+// Guards against a straggler share that is far from the one asked for.
+func TestStragglerShare(t *testing.T) {
+	const tasks, share = 20000, 0.02
+	n := 0
+	for i := range tasks {
+		if (Execution{Key: api.NewKeyAt(time.UnixMilli(int64(i/100)), uint64(i/100)), Task: uint16(i % 100)}).share(7) < share {
+			n++
+		}
+	}
+	qt.Assert(t, n > tasks*share/2 && n < tasks*share*2, qt.IsTrue, qt.Commentf("%d of %d", n, tasks))
+}
+
+// Guards against a server that an agent does not learn of after its restart,
+// and against a shutdown that interrupts a task or says nothing.
+func TestBackendAnnouncesAndLeaves(t *testing.T) {
+	calls := make(chan string, 100)
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		calls <- fmt.Sprint(r.URL.Path, " ", a.Name, " ", a.Services)
+	}))
+	defer agent.Close()
+	b, stop, done := startBackend(t, BackendOptions{AgentAddress: agent.Listener.Addr().String(), Services: []string{"cleft-assessor"}})
+	for range 2 {
+		qt.Assert(t, <-calls, qt.Equals, "/announce cleft-01 [cleft-assessor]")
+	}
+	status := make(chan int, 1)
+	go func() {
+		s, _ := run(context.Background(), b, api.NewKeyAt(time.Now(), 1), 0, `{"work_ms": 500}`)
+		status <- s
+	}()
+	for now, _ := b.Running(); now == 0; now, _ = b.Running() {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	for call := range calls {
+		if call == "/leave cleft-01 []" {
+			break
+		}
+	}
+	qt.Assert(t, <-status, qt.Equals, 200)
+	qt.Assert(t, <-done, qt.IsNil)
+}
--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,226 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/platform/platformtest"
+)
+
+// open returns a stand-in and the two ways to reach it.
+func open(t *testing.T) (*Platform, map[string]platform.Platform) {
+	p, err := NewPlatform(PlatformOptions{Address: "127.0.0.1:0"})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-done, qt.IsNil)
+	})
+	return p, map[string]platform.Platform{"in process": p, "HTTP": platform.NewClient(p.Addr())}
+}
+
+// Guards against implementations that differ from each other.
+func TestPlatformContract(t *testing.T) {
+	for _, name := range []string{"in process", "HTTP"} {
+		t.Run(name, func(t *testing.T) {
+			platformtest.Run(t, func(t *testing.T) platform.Platform {
+				_, ways := open(t)
+				return ways[name]
+			})
+		})
+	}
+}
+
+// Guards against an error that says that nothing was written when something
+// may have been, and against Update writing a second time.
+func TestPlatformFaults(t *testing.T) {
+	const doubt, unavailable = "doubt", "unavailable"
+	for _, tc := range []struct {
+		name   string
+		faults PlatformFaults
+		// read and write are the kinds of error of a Get and a CompareAndSet.
+		read, write string
+		// version is that of the row after the write.
+		version uint64
+		// update is the kind of error of Update under the same faults, and
+		// updated the version after it.
+		update  string
+		updated uint64
+	}{
+		{"none", PlatformFaults{}, "", "", 2, "", 2},
+		{"delay", PlatformFaults{DelayMS: 30}, "", "", 2, "", 2},
+		{"unavailable", PlatformFaults{Unavailable: true}, unavailable, unavailable, 1, unavailable, 1},
+		{"writes refused", PlatformFaults{RefuseWrites: true}, "", unavailable, 1, unavailable, 1},
+		{"reply lost", PlatformFaults{LoseReplies: 1}, "", doubt, 2, "", 2},
+		{"request lost", PlatformFaults{LoseRequests: 1}, "", doubt, 1, "", 2},
+		{"request then reply lost", PlatformFaults{LoseRequests: 1, LoseReplies: 1}, "", doubt, 1, "", 2},
+		{"delay beyond the timeout", PlatformFaults{DelayMS: 400}, unavailable, doubt, 2, unavailable, 1},
+	} {
+		for _, way := range []string{"in process", "HTTP"} {
+			t.Run(tc.name+"/"+way, func(t *testing.T) {
+				for _, viaUpdate := range []bool{false, true} {
+					stand, ways := open(t)
+					_, err := stand.CompareAndSet(context.Background(), "roster", 0, []byte(`{"op":"first"}`))
+					qt.Assert(t, err, qt.IsNil)
+					stand.SetFaults(tc.faults)
+					ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+					defer cancel()
+					wantErr, wantVersion := tc.write, tc.version
+					if viaUpdate {
+						wantErr, wantVersion = tc.update, tc.updated
+						_, err = platform.Update(ctx, ways[way], "roster", "second", setOp("second"))
+					} else {
+						_, err = ways[way].CompareAndSet(ctx, "roster", 1, []byte(`{"op":"second"}`))
+					}
+					qt.Assert(t, kind(err), qt.Equals, wantErr, qt.Commentf("update: %v: %v", viaUpdate, err))
+					if !viaUpdate {
+						ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+						_, err = ways[way].Get(ctx, "roster")
+						cancel()
+						qt.Assert(t, kind(err), qt.Equals, tc.read, qt.Commentf("%v", err))
+					}
+					// Longer than the longest delay, so that a late write shows.
+					time.Sleep(time.Duration(tc.faults.DelayMS) * time.Millisecond)
+					stand.SetFaults(PlatformFaults{})
+					row, err := stand.Get(context.Background(), "roster")
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, row.Version, qt.Equals, wantVersion, qt.Commentf("update: %v", viaUpdate))
+				}
+			})
+		}
+	}
+}
+
+func kind(err error) string {
+	var doubt *platform.DoubtError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &doubt):
+		return "doubt"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	}
+	return err.Error()
+}
+
+func setOp(op string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) { return fmt.Appendf(nil, `{"op":%q}`, op), nil }
+}
+
+// Guards against a refused connection that is reported as a write in doubt:
+// nothing can have been sent.
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	stand, err := NewPlatform(PlatformOptions{Address: "127.0.0.1:0"})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- stand.Run(ctx) }()
+	client := platform.NewClient(stand.Addr())
+	_, err = client.CompareAndSet(context.Background(), "roster", 0, nil)
+	qt.Assert(t, err, qt.IsNil)
+	cancel()
+	qt.Assert(t, <-done, qt.IsNil)
+	// The first attempt may find the idle connection closed.
+	for range 2 {
+		_, err = client.CompareAndSet(context.Background(), "roster", 1, nil)
+	}
+	qt.Assert(t, kind(err), qt.Equals, "unavailable", qt.Commentf("%v", err))
+}
+
+// Guards against a write in doubt that is reported as done, or repeated, after
+// another writer has replaced it.
+func TestUpdateInDoubtAfterAnotherWriter(t *testing.T) {
+	stand, err := NewPlatform(PlatformOptions{Faults: PlatformFaults{LoseReplies: 1}})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, calls := context.Background(), 0
+	other := &interposed{Platform: stand, beforeGet: func(n int) {
+		if n == 2 {
+			_, err := stand.CompareAndSet(ctx, "roster", 1, []byte(`{"op":"other"}`))
+			qt.Check(t, err, qt.IsNil)
+		}
+	}}
+	_, err = platform.Update(ctx, other, "roster", "mine", func([]byte) ([]byte, error) {
+		calls++
+		return []byte(`{"op":"mine"}`), nil
+	})
+	qt.Assert(t, kind(err), qt.Equals, "doubt", qt.Commentf("%v", err))
+	qt.Assert(t, calls, qt.Equals, 1)
+	row, err := stand.Get(ctx, "roster")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, row.Version, qt.Equals, uint64(2))
+}
+
+type interposed struct {
+	platform.Platform
+	gets      int
+	beforeGet func(n int)
+}
+
+func (i *interposed) Get(ctx context.Context, key string) (platform.Row, error) {
+	i.gets++
+	i.beforeGet(i.gets)
+	return i.Platform.Get(ctx, key)
+}
+
+// Guards against an update that repeats for ever, or that repeats an operation
+// that was done before.
+func TestUpdateBounds(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	stand, err := NewPlatform(PlatformOptions{})
+	c.Assert(err, qt.IsNil)
+	row, err := platform.Update(ctx, stand, "roster", "a", setOp("a"))
+	c.Assert(err, qt.IsNil)
+	again, err := platform.Update(ctx, stand, "roster", "a", func([]byte) ([]byte, error) { panic("done before") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.DeepEquals, row)
+	_, err = platform.Update(ctx, stand, "roster", "b", setOp("not b"))
+	c.Assert(err, qt.ErrorMatches, `.*does not carry the operation id "b"`)
+	_, err = platform.Update(ctx, stand, "roster", "b", func([]byte) ([]byte, error) {
+		now, err := stand.Get(ctx, "roster")
+		c.Assert(err, qt.IsNil)
+		_, err = stand.CompareAndSet(ctx, "roster", now.Version, []byte(`{"op":"other"}`))
+		c.Assert(err, qt.IsNil)
+		return []byte(`{"op":"b"}`), nil
+	})
+	c.Assert(errors.Is(err, platform.ErrTooManyConflicts), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Guards against faults that cannot be set from outside, and against a write
+// over HTTP that names no version.
+func TestPlatformOverHTTP(t *testing.T) {
+	stand, _ := open(t)
+	for _, tc := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"PUT", "/faults", `{"lose_replies": 2}`, http.StatusOK},
+		{"PUT", "/faults", `{"loose_replies": 2}`, http.StatusBadRequest},
+		{"GET", "/faults", ``, http.StatusOK},
+		{"PUT", "/v1/table/roster", `{}`, http.StatusPreconditionRequired},
+		{"DELETE", "/v1/table/roster", ``, http.StatusPreconditionRequired},
+	} {
+		status := send(t, tc.method, "http://"+stand.Addr()+tc.path, tc.body)
+		qt.Assert(t, status, qt.Equals, tc.status, qt.Commentf("%s %s", tc.method, tc.path))
+	}
+	qt.Assert(t, stand.Faults(), qt.Equals, PlatformFaults{LoseReplies: 2})
+}
+
+func send(t *testing.T, method, url, body string) int {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.Body.Close(), qt.IsNil)
+	return resp.StatusCode
+}
