Add config with validation, holder and diff, and the watch loop

Cause: entries need the version of the configuration in effect, the sheet needs its faults and differences.

Change: config has the types, Validate with all faults at once, a Holder whose version only rises, and Diff that marks what restricts callers. config/watch polls the platform every second, takes newer versions from peers and reports the version in effect with name and incarnation.

Ruled out: one loop for polling and reporting, since a slow report would delay the next read.

Conclusion: entry can use Holder and Watcher.

--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Config is one version of the configuration, the value of platform.RowConfig.
+type Config struct {
+	// Version rises by one with each accepted configuration; the first is 1.
+	Version uint64 `json:"version"`
+	// Op is the id of the write, to resolve a lost reply.
+	Op string `json:"op"`
+	// Operator is who applied the version, and At when.
+	Operator string    `json:"operator,omitempty"`
+	At       time.Time `json:"at,omitzero"`
+	// Restores is the version that this one brings back, 0 if it came from a
+	// sheet.
+	Restores uint64    `json:"restores,omitempty"`
+	Services []Service `json:"services"`
+	Teams    []Team    `json:"teams"`
+	Workers  []Worker  `json:"workers"`
+}
+
+// Service is a kind of backend server with the request types it runs.
+type Service struct {
+	Name  string        `json:"name"`
+	Types []RequestType `json:"types"`
+}
+
+// RequestType is a kind of task.
+type RequestType struct {
+	Name string `json:"name"`
+	// DeadlineMS is the deadline of jobs that name none, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// Idempotent says that running a task twice does no harm. Jobs of other
+	// types are never marked as safe to submit again under a new key.
+	Idempotent bool `json:"idempotent"`
+}
+
+// Team is a group of callers.
+type Team struct {
+	Name string `json:"name"`
+	// Quota bounds the tasks in progress over all entries.
+	Quota int `json:"quota"`
+	// Weight is the share of the team when tasks wait.
+	Weight int `json:"weight"`
+}
+
+// Worker is a host with a backend server.
+type Worker struct {
+	Name     string   `json:"name"`
+	Services []string `json:"services"`
+	// Drain keeps new tasks away from the worker.
+	Drain bool `json:"drain"`
+}
+
+// Encode returns the value of the configuration row.
+func Encode(c *Config) ([]byte, error) {
+	b, err := json.Marshal(c)
+	return b, errors.Wrap(err, "encode configuration")
+}
+
+// Decode reads the value of a configuration row and validates it.
+func Decode(value []byte) (*Config, error) {
+	var c Config
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+	if faults := c.Validate(); len(faults) > 0 {
+		return nil, errors.Wrapf(faults, "configuration version %d", c.Version)
+	}
+	return &c, nil
+}
+
+// Service returns the service with the name.
+func (c *Config) Service(name string) (*Service, bool) {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// Type returns the request type with the name.
+func (s *Service) Type(name string) (*RequestType, bool) {
+	for i := range s.Types {
+		if s.Types[i].Name == name {
+			return &s.Types[i], true
+		}
+	}
+	return nil, false
+}
+
+// Team returns the team with the name.
+func (c *Config) Team(name string) (*Team, bool) {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return &c.Teams[i], true
+		}
+	}
+	return nil, false
+}
+
+// Worker returns the worker with the name.
+func (c *Config) Worker(name string) (*Worker, bool) {
+	for i := range c.Workers {
+		if c.Workers[i].Name == name {
+			return &c.Workers[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Effect says what a change does to callers.
+type Effect string
+
+// Effects. Removed and Lowered can turn requests away that were accepted
+// before.
+const (
+	Added   Effect = "added"
+	Removed Effect = "removed"
+	Raised  Effect = "raised"
+	Lowered Effect = "lowered"
+	Changed Effect = "changed"
+)
+
+// Change is one difference between two configurations.
+type Change struct {
+	Effect Effect `json:"effect"`
+	Kind   Kind   `json:"kind"`
+	Name   string `json:"name"`
+	// Field is empty when the whole is added or removed.
+	Field string `json:"field,omitempty"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+}
+
+// Restricts reports whether requests may be turned away that were accepted
+// before the change.
+func (c Change) Restricts() bool { return c.Effect == Removed || c.Effect == Lowered }
+
+// Diff returns the differences in the order of kinds and names. The order of
+// entries in a configuration does not matter. old may be nil.
+func Diff(old, new *Config) []Change {
+	if old == nil {
+		old = &Config{}
+	}
+	var changes []Change
+	before, after := items(old), items(new)
+	for key, o := range before {
+		if _, ok := after[key]; !ok {
+			changes = append(changes, Change{Effect: Removed, Kind: key.kind, Name: key.name, Old: o.text()})
+		}
+	}
+	for key, n := range after {
+		o, ok := before[key]
+		if !ok {
+			changes = append(changes, Change{Effect: Added, Kind: key.kind, Name: key.name, New: n.text()})
+			continue
+		}
+		for i := range n {
+			if o[i] != n[i] {
+				changes = append(changes, Change{Effect: effect(o[i], n[i]), Kind: key.kind, Name: key.name, Field: n[i].name, Old: o[i].value, New: n[i].value})
+			}
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(order(a.Kind), order(b.Kind)), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field))
+	})
+	return changes
+}
+
+type itemKey struct {
+	kind Kind
+	name string
+}
+
+type field struct {
+	name, value string
+	// size is set for fields of which a lower value restricts callers.
+	size  int
+	sized bool
+}
+
+type item []field
+
+func (i item) text() string {
+	parts := make([]string, len(i))
+	for n, f := range i {
+		parts[n] = f.name + " " + f.value
+	}
+	return strings.Join(parts, ", ")
+}
+
+// items returns the fields of each request type, team and worker. Request types
+// are named service/type.
+func items(c *Config) map[itemKey]item {
+	m := map[itemKey]item{}
+	for _, s := range c.Services {
+		for _, t := range s.Types {
+			m[itemKey{KindService, s.Name + "/" + t.Name}] = item{
+				{name: "deadline_ms", value: strconv.FormatInt(t.DeadlineMS, 10)},
+				{name: "idempotent", value: yesNo(t.Idempotent)},
+			}
+		}
+	}
+	for _, t := range c.Teams {
+		m[itemKey{KindTeam, t.Name}] = item{sizedField("quota", t.Quota), sizedField("weight", t.Weight)}
+	}
+	for _, w := range c.Workers {
+		services := slices.Sorted(slices.Values(w.Services))
+		m[itemKey{KindWorker, w.Name}] = item{
+			{name: "services", value: strings.Join(services, " ")},
+			{name: "drain", value: yesNo(w.Drain)},
+		}
+	}
+	return m
+}
+
+func sizedField(name string, n int) field {
+	return field{name: name, value: strconv.Itoa(n), size: n, sized: true}
+}
+
+func effect(old, new field) Effect {
+	switch {
+	case old.sized && new.size < old.size:
+		return Lowered
+	case old.sized:
+		return Raised
+	case old.name == "services" && losesWord(old.value, new.value):
+		return Lowered
+	case old.name == "drain" && new.value == "yes":
+		return Lowered
+	}
+	return Changed
+}
+
+func losesWord(old, new string) bool {
+	kept := strings.Fields(new)
+	return slices.ContainsFunc(strings.Fields(old), func(w string) bool { return !slices.Contains(kept, w) })
+}
+
+func order(k Kind) int { return slices.Index([]Kind{KindService, KindTeam, KindWorker}, k) }
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,8 @@
+// Package config holds the configuration of the service: which services and
+// request types exist, the quotas of teams, and what each worker may serve.
+//
+// Input: versions of the configuration. Output: the version in effect, faults,
+// differences. State: a Holder owns the version in effect. A Config is not
+// changed once it has been handed to a Holder; a Holder is safe for concurrent
+// use, everything else is plain data.
+package config
--- /dev/null
+++ b/config/watch/watch.go
@@ -0,0 +1,186 @@
+// Package watch keeps a config.Holder at the current version of the
+// configuration on the platform and reports the version in effect.
+//
+// Input: the row platform.RowConfig, versions from peers. Output: versions to
+// the Holder, a report row of this entry. State: none beyond the Holder. While
+// the platform is away the last version stays in effect.
+package watch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
+)
+
+const (
+	// DefaultInterval leaves four of the five seconds within which a
+	// configuration takes effect for a slow platform and for passing it on.
+	DefaultInterval = time.Second
+	// requestTimeout bounds one read, so that a request that hangs costs few
+	// intervals.
+	requestTimeout = 2 * time.Second
+)
+
+// Options are the options of New.
+type Options struct {
+	Table  platform.Table
+	Holder *config.Holder
+	// Name and Incarnation are those of this entry in the roster.
+	Name        string
+	Incarnation uint64
+	// Interval is the time between two reads; 0 means DefaultInterval.
+	Interval time.Duration
+	// Log gets a line when the platform goes away, comes back, or holds a
+	// configuration that cannot be used.
+	Log *logrus.Entry
+}
+
+// Report is the value of platform.PrefixReports + name.
+type Report struct {
+	Name        string    `json:"name"`
+	Incarnation uint64    `json:"incarnation"`
+	Version     uint64    `json:"version"`
+	At          time.Time `json:"at"`
+}
+
+// Watcher polls the platform. Its methods are safe for concurrent use.
+type Watcher struct {
+	o Options
+	// trouble is the kind of the last failure; only the poll loop uses it.
+	trouble string
+	// seen is the last value read, so that an unchanged row is not decoded
+	// again each second.
+	seen []byte
+}
+
+// New returns a watcher that does nothing before Run.
+func New(o Options) *Watcher {
+	if o.Interval == 0 {
+		o.Interval = DefaultInterval
+	}
+	return &Watcher{o: o}
+}
+
+// Run polls and reports until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		w.reportLoop(ctx)
+	}()
+	w.pollLoop(ctx)
+	<-reported
+	return nil
+}
+
+// Offer takes a configuration from a peer, as the value of its row. It returns
+// whether the version was newer and is now in effect.
+func (w *Watcher) Offer(value []byte) (bool, error) {
+	c, err := config.Decode(value)
+	if err != nil {
+		return false, err
+	}
+	return w.o.Holder.Adopt(c), nil
+}
+
+func (w *Watcher) pollLoop(ctx context.Context) {
+	ticker := time.NewTicker(w.o.Interval)
+	defer ticker.Stop()
+	for {
+		err := w.poll(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.note(err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	row, err := w.o.Table.Get(ctx, platform.RowConfig)
+	if err != nil || bytes.Equal(row.Value, w.seen) {
+		return err
+	}
+	c, err := config.Decode(row.Value)
+	if err != nil {
+		return err
+	}
+	w.seen = row.Value
+	if !w.o.Holder.Adopt(c) && c.Version < w.o.Holder.Version() {
+		w.o.Log.Warnf("platform has configuration version %d, version %d stays in effect", c.Version, w.o.Holder.Version())
+	}
+	return nil
+}
+
+// note logs when reads begin to fail, fail otherwise, or work again. Messages of
+// an outage differ in port numbers and count as one.
+func (w *Watcher) note(err error) {
+	trouble := ""
+	if errors.Is(err, platform.ErrUnavailable) {
+		trouble = platform.ErrUnavailable.Error()
+	} else if err != nil {
+		trouble = err.Error()
+	}
+	if trouble == w.trouble {
+		return
+	}
+	w.trouble = trouble
+	if err != nil {
+		w.o.Log.WithError(err).Warnf("cannot read the configuration, version %d stays in effect", w.o.Holder.Version())
+		return
+	}
+	w.o.Log.Infof("configuration is read again, version %d is in effect", w.o.Holder.Version())
+}
+
+// reportLoop writes the report on each new version and repeats failed writes.
+func (w *Watcher) reportLoop(ctx context.Context) {
+	versions, cancel := w.o.Holder.Subscribe()
+	defer cancel()
+	var retry <-chan time.Time
+	var version uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-versions:
+			version = c.Version
+		case <-retry:
+		}
+		retry = nil
+		if err := w.report(ctx, version); err != nil {
+			w.o.Log.WithError(err).Debugf("cannot report version %d", version)
+			retry = time.After(w.o.Interval)
+		}
+	}
+}
+
+func (w *Watcher) report(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	r := Report{Name: w.o.Name, Incarnation: w.o.Incarnation, Version: version, At: time.Now().UTC()}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	_, err = platform.Update(ctx, w.o.Table, platform.PrefixReports+w.o.Name, "", func(old []byte) ([]byte, error) {
+		var before Report
+		if json.Unmarshal(old, &before) == nil && before.Incarnation == r.Incarnation && before.Version >= r.Version {
+			return nil, platform.ErrUnchanged
+		}
+		return value, nil
+	})
+	return err
+}
--- /dev/null
+++ b/config/watch/watch_test.go
@@ -0,0 +1,90 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/standin"
+)
+
+const interval = 10 * time.Millisecond
+
+func encode(t *testing.T, version uint64) []byte {
+	b, err := config.Encode(&config.Config{
+		Version:  version,
+		Services: []config.Service{{Name: "dispatch", Types: []config.RequestType{{Name: "soot-load", DeadlineMS: 500}}}},
+		Teams:    []config.Team{{Name: "depots", Quota: 400, Weight: 1}},
+		Workers:  []config.Worker{{Name: "abay-01", Services: []string{"dispatch"}}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return b
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); !ok(); time.Sleep(interval / 2) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against a version that goes back or is lost while the platform is
+// away, against a peer's version that is ignored, and against a report that
+// says something other than what is in effect.
+func TestWatch(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	p, err := standin.NewPlatform(standin.PlatformOptions{})
+	c.Assert(err, qt.IsNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := &config.Holder{}
+	w := New(Options{Table: p, Holder: h, Name: "entry-1", Incarnation: 7, Interval: interval, Log: logrus.NewEntry(log)})
+	runCtx, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- w.Run(runCtx) }()
+	defer func() { cancel(); c.Check(<-done, qt.IsNil) }()
+	reported := func() uint64 {
+		var r Report
+		row, err := p.Get(ctx, platform.PrefixReports+"entry-1")
+		if err != nil || json.Unmarshal(row.Value, &r) != nil || r.Incarnation != 7 {
+			return 0
+		}
+		return r.Version
+	}
+	set := func(want uint64, value []byte) {
+		_, err := p.CompareAndSet(ctx, platform.RowConfig, want, value)
+		c.Assert(err, qt.IsNil)
+	}
+
+	set(0, encode(t, 1))
+	eventually(t, "version 1 is not in effect", func() bool { return h.Version() == 1 && reported() == 1 })
+
+	p.SetFaults(standin.PlatformFaults{Unavailable: true})
+	newer, err := w.Offer(encode(t, 3))
+	c.Assert(err, qt.IsNil)
+	c.Assert(newer, qt.IsTrue)
+	_, err = w.Offer([]byte(`{"version": 9}`))
+	c.Assert(err, qt.ErrorMatches, `(?s)configuration version 9: .*`)
+	time.Sleep(3 * interval)
+	c.Assert(h.Version(), qt.Equals, uint64(3))
+	p.SetFaults(standin.PlatformFaults{LoseReplies: 1})
+	eventually(t, "version 3 is not reported after the outage", func() bool { return reported() == 3 })
+
+	set(1, encode(t, 2))
+	time.Sleep(3 * interval)
+	c.Assert(h.Version(), qt.Equals, uint64(3))
+	set(2, []byte(`{"version": 4, "services": []}`))
+	time.Sleep(3 * interval)
+	c.Assert(h.Version(), qt.Equals, uint64(3))
+	set(3, encode(t, 5))
+	eventually(t, "version 5 is not in effect", func() bool { return h.Version() == 5 && reported() == 5 })
+}
