--- /dev/null
+++ b/entry/close.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/ledger"
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+const (
+	// closeTimeout is how long an agent has to close a key. Refusals are due
+	// within 20 ms; an agent in another zone answers within 4 ms.
+	closeTimeout = 15 * time.Millisecond
+	// closeAttempts is how many agents are asked in turn.
+	closeAttempts = 3
+)
+
+// closing is an answer that says that nothing ran. It is held back until an
+// agent has closed the key in its ledger: should this entry leave, the next
+// owner of the key finds the tombstone and does not run a late copy either.
+type closing struct {
+	answer   *api.Answer
+	deliver  func()
+	requests []*request
+	asked    map[uint64]bool
+	until    time.Time
+}
+
+// closeKey delivers an answer after its key is closed. If no agent closes the
+// key, the answer says maybe.
+func (c *core) closeKey(a *api.Answer, idempotent bool, deliver func()) {
+	if a.Ran != api.RanNo {
+		deliver()
+		return
+	}
+	if c.suspect || c.removed {
+		doubt(a, idempotent)
+		deliver()
+		return
+	}
+	cl := &closing{answer: a, asked: map[uint64]bool{}}
+	cl.deliver = func() {
+		delete(c.closing, a.Key)
+		deliver()
+		for _, r := range cl.requests {
+			c.request(r)
+		}
+	}
+	if !c.askClose(cl) {
+		// Without an agent nothing can start either.
+		deliver()
+		return
+	}
+	c.closing[a.Key] = cl
+}
+
+// doubt changes an answer that says that nothing ran.
+func doubt(a *api.Answer, idempotent bool) {
+	a.Ran, a.RetrySafe = api.RanMaybe, idempotent
+}
+
+// askClose asks the next agent. It returns false when there is none.
+func (c *core) askClose(cl *closing) bool {
+	for id, ag := range c.agents {
+		if ag.conn == nil || cl.asked[id] {
+			continue
+		}
+		cl.asked[id], cl.until = true, c.now().Add(closeTimeout)
+		c.sendSettle(ag, cl.answer.Key, ledger.WholeJob, false, false)
+		return true
+	}
+	return false
+}
+
+// closed handles the answer of an agent.
+func (c *core) closed(agent uint64, m *wire.Settled) {
+	cl := c.closing[m.Key]
+	if cl != nil && cl.asked[agent] && m.State == wire.StateClosed {
+		cl.deliver()
+	}
+}
+
+// closeLate asks another agent, or changes the answer to maybe.
+func (c *core) closeLate(now time.Time) {
+	for _, cl := range c.closing {
+		if now.Before(cl.until) || len(cl.asked) < closeAttempts && c.askClose(cl) {
+			continue
+		}
+		doubt(cl.answer, c.jobs.Idempotent(cl.answer.Key))
+		cl.deliver()
+	}
+}
--- /dev/null
+++ b/entry/configwatch.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sesamelift/sesamelift/admission"
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/config/watch"
+)
+
+// configLoop keeps the configuration current and hands each version to the core
+// loop.
+func (e *Entry) configLoop(ctx context.Context) error {
+	versions, cancel := e.config.Subscribe()
+	defer cancel()
+	done := make(chan error, 1)
+	w := watch.New(watch.Options{
+		Table: e.o.Platform, Holder: &e.config, Name: e.self.Name, Incarnation: e.self.Incarnation, Log: e.log,
+	})
+	go func() { done <- w.Run(ctx) }()
+	for {
+		select {
+		case <-ctx.Done():
+			return <-done
+		case c := <-versions:
+			e.post(ctx, func(co *core) { co.setConfig(c) })
+		}
+	}
+}
+
+func (e *Entry) configVersion() uint64 { return e.config.Version() }
+
+// setConfig puts a version into effect here and sends it to the agents.
+func (c *core) setConfig(cfg *config.Config) {
+	if cfg.Version <= c.config.Version {
+		return
+	}
+	c.config = cfg
+	c.types = map[string]map[string]config.RequestType{}
+	for _, s := range cfg.Services {
+		c.types[s.Name] = map[string]config.RequestType{}
+		for _, t := range s.Types {
+			c.types[s.Name][t.Name] = t
+		}
+	}
+	workers := map[string]config.Worker{}
+	for _, w := range cfg.Workers {
+		workers[w.Name] = w
+	}
+	c.placement.SetWorkers(func(worker, service string) bool {
+		w, listed := workers[worker]
+		return !listed || !w.Drain && (len(w.Services) == 0 || slices.Contains(w.Services, service))
+	})
+	c.setTeams()
+	for _, ag := range c.agents {
+		c.push(ag)
+	}
+	c.e.log.WithField("config_version", cfg.Version).Info("configuration is in effect")
+}
+
+func (c *core) setTeams() {
+	teams := map[string]admission.Team{}
+	for _, t := range c.config.Teams {
+		teams[t.Name] = admission.Team{Quota: t.Quota, Weight: t.Weight}
+	}
+	entries := 1
+	if r := c.own.Roster(); r != nil {
+		entries = max(1, len(r.Members))
+	}
+	c.admission.SetTeams(teams, entries)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/transport"
+)
+
+// Options configures an Entry. All fields are required except MetricsHandler.
+type Options struct {
+	Settings       *settings.Entry
+	Credentials    *transport.Credentials
+	Platform       platform.Platform
+	Log            *logrus.Entry
+	Metrics        tally.Scope
+	MetricsHandler http.Handler
+	Tracer         trace.Tracer
+}
+
+const (
+	// eventQueue is the capacity of the queue of the core loop. It holds the
+	// events of several of the largest jobs.
+	eventQueue = 4096
+	// httpShutdown bounds the time for writing the last answers.
+	httpShutdown = 2 * time.Second
+	// leaveTimeout bounds the write that removes this entry from the roster.
+	leaveTimeout = 5 * time.Second
+)
+
+// ErrRemoved is returned by Run when other entries removed this incarnation
+// from the roster. A new Entry with the same options may take its place.
+var ErrRemoved = errors.New("this entry was removed from the roster by its peers")
+
+// Entry is one incarnation of an entry. Its exported methods are safe for
+// concurrent use; Run is called once.
+type Entry struct {
+	o        Options
+	log      *logrus.Entry
+	self     ownership.Member
+	clock    clock
+	listener *transport.Listener
+	http     net.Listener
+	ingress  *ingress.Server
+	config   config.Holder
+	events   chan event
+	metrics  *metrics
+	verdicts chan verdictLine
+	peers    peers
+	// notReady holds the reason why no new jobs are taken, empty when ready.
+	notReady atomic.Value
+	health   platformHealth
+	drained  chan struct{}
+	removed  chan struct{}
+}
+
+// clock gives times that follow the monotonic clock from one reading of the
+// wall clock, so that keys are discarded and refused by the same clock.
+type clock struct{ base time.Time }
+
+func (c clock) now() time.Time { return c.base.Add(time.Since(c.base)) }
+
+// New opens the listeners of an entry. Run serves them.
+func New(o Options) (*Entry, error) {
+	s := o.Settings
+	l, err := transport.Listen(s.PeerAddress, o.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	h, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	e := &Entry{
+		o: o, log: o.Log.WithField("entry", s.Name), clock: clock{time.Now()}, listener: l, http: h,
+		events: make(chan event, eventQueue), metrics: newMetrics(o.Metrics),
+		verdicts: make(chan verdictLine, eventQueue),
+		drained:  make(chan struct{}), removed: make(chan struct{}),
+	}
+	e.self = ownership.Member{
+		Name: s.Name, Incarnation: rand.Uint64() | 1, PeerAddr: l.Addr(), CallerAddr: h.Addr().String(), Zone: s.Zone,
+	}
+	e.peers.init(e)
+	e.notReady.Store("starting: the platform has not been reached yet")
+	e.ingress = ingress.New(ingress.Options{
+		Service: e, OperatorToken: s.OperatorToken, TeamTokens: s.TeamTokens, RequestsPerSecond: s.CallerRequestsPerSecond,
+	}, o.MetricsHandler)
+	return e, nil
+}
+
+// CallerAddr returns the address for callers and operators.
+func (e *Entry) CallerAddr() string { return e.http.Addr().String() }
+
+// PeerAddr returns the address for agents and other entries.
+func (e *Entry) PeerAddr() string { return e.listener.Addr() }
+
+// Incarnation returns the number of this incarnation.
+func (e *Entry) Incarnation() uint64 { return e.self.Incarnation }
+
+// Run serves until ctx ends, then finishes the jobs in progress for at most the
+// drain timeout, leaves the roster and closes. It returns ErrRemoved when other
+// entries removed this incarnation, once the tasks that it started have ended.
+func (e *Entry) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	server := e.ingress.HTTPServer()
+	loops := []func(context.Context) error{
+		e.coreLoop, e.rosterLoop, e.configLoop, e.resolveLoop, e.peers.loop, e.logLoop, e.acceptLoop,
+	}
+	for _, loop := range loops {
+		g.Go(func() error { return loop(work) })
+	}
+	g.Go(func() error {
+		if err := server.Serve(e.http); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	removed := false
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			e.drain(work)
+		case <-e.removed:
+			removed = true
+		case <-work.Done():
+		}
+		end, cancel := context.WithTimeout(context.Background(), httpShutdown)
+		defer cancel()
+		_ = server.Shutdown(end)
+		stop()
+		_ = e.listener.Close()
+		return nil
+	})
+	err := g.Wait()
+	if err == nil && removed {
+		return ErrRemoved
+	}
+	return err
+}
+
+// drain waits for the jobs in progress and leaves the roster.
+func (e *Entry) drain(ctx context.Context) {
+	e.log.Info("draining")
+	e.notReady.Store("draining")
+	e.post(ctx, func(c *core) { c.draining = true })
+	timeout := time.NewTimer(e.o.Settings.DrainTimeout())
+	defer timeout.Stop()
+	select {
+	case <-e.drained:
+	case <-timeout.C:
+		e.log.Warn("the drain timeout is over; jobs in progress fail")
+		e.post(ctx, func(c *core) { c.failAll("the entry shut down before the job was complete") })
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := e.leaveRoster(ctx); err != nil {
+		e.log.WithError(err).Warn("could not leave the roster; the peers will remove this entry")
+	}
+}
+
+// Ready implements ingress.Service.
+func (e *Entry) Ready() string { return e.notReady.Load().(string) }
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+// otherLabel stands for services and teams that are not in the configuration,
+// so that callers cannot create labels.
+const otherLabel = "other"
+
+// Buckets follow the run times of tasks, 50 ms to several seconds.
+var timeBuckets = tally.DurationBuckets{
+	time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute,
+}
+
+// metrics holds the metrics of an entry. The core loop uses byType; the
+// counters are safe for concurrent use.
+type metrics struct {
+	scope      tally.Scope
+	byType     map[[2]string]*typeMetrics
+	retries    tally.Counter
+	settles    tally.Counter
+	loads      tally.Counter
+	fences     tally.Counter
+	forwards   tally.Counter
+	agentsLost tally.Counter
+	logDropped tally.Counter
+	queued     tally.Gauge
+	jobs       tally.Gauge
+	agents     tally.Gauge
+	roster     tally.Gauge
+	config     tally.Gauge
+}
+
+// typeMetrics are the metrics of a service and team.
+type typeMetrics struct {
+	scope  tally.Scope
+	jobs   tally.Counter
+	starts tally.Counter
+	wait   tally.Histogram
+	time   tally.Histogram
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	return &metrics{
+		scope: s, byType: map[[2]string]*typeMetrics{},
+		retries: s.Counter("task_retries_total"), settles: s.Counter("settle_messages_total"), loads: s.Counter("load_messages_total"),
+		fences: s.Counter("fence_messages_total"), forwards: s.Counter("forward_messages_total"),
+		agentsLost: s.Counter("agent_connections_lost_total"), logDropped: s.Counter("log_lines_dropped_total"),
+		queued: s.Gauge("queued_tasks"), jobs: s.Gauge("jobs_in_progress"), agents: s.Gauge("agents_connected"),
+		roster: s.Gauge("roster_version"), config: s.Gauge("config_version"),
+	}
+}
+
+// of returns the metrics of a service and team of the configuration.
+func (m *metrics) of(service, team string) *typeMetrics {
+	k := [2]string{service, team}
+	t := m.byType[k]
+	if t == nil {
+		s := m.scope.Tagged(map[string]string{"service": service, "team": team})
+		t = &typeMetrics{
+			scope: s, jobs: s.Counter("jobs_accepted_total"), starts: s.Counter("task_starts_total"),
+			wait: s.Histogram("task_wait_seconds", timeBuckets), time: s.Histogram("job_time_seconds", timeBuckets),
+		}
+		m.byType[k] = t
+	}
+	return t
+}
+
+func (t *typeMetrics) verdict(a *api.Answer, took time.Duration) {
+	t.scope.Tagged(map[string]string{"verdict": string(a.Verdict), "reason": string(a.Reason)}).Counter("jobs_done_total").Inc(1)
+	t.time.RecordDuration(took)
+}
+
+func (m *metrics) refused(reason api.Reason) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("jobs_refused_total").Inc(1)
+}
+
+func (c *core) gauges() {
+	m, connected := c.e.metrics, 0
+	for _, ag := range c.agents {
+		if ag.conn != nil {
+			connected++
+			c.push(ag)
+		}
+	}
+	m.queued.Update(float64(c.queue.Len()))
+	m.jobs.Update(float64(c.jobs.Running()))
+	m.agents.Update(float64(connected))
+	m.roster.Update(float64(c.rosterVersion()))
+	m.config.Update(float64(c.config.Version))
+}
+
+// verdictLine is the one log line of a job.
+type verdictLine struct {
+	service, typ, team string
+	tasks              int
+	answer             *api.Answer
+	took               time.Duration
+}
+
+// logVerdict hands the line to the log loop, since the core loop must not wait
+// for the output.
+func (c *core) logVerdict(s *api.Submission, a *api.Answer, took time.Duration) {
+	select {
+	case c.e.verdicts <- verdictLine{s.Service, s.Type, s.Team, len(s.Tasks), a, took}:
+	default:
+		c.e.metrics.logDropped.Inc(1)
+	}
+}
+
+// logLoop writes the lines of verdicts.
+func (e *Entry) logLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case v := <-e.verdicts:
+			a := v.answer
+			e.log.WithFields(logrus.Fields{
+				"key": a.Key.String(), "service": v.service, "type": v.typ, "team": v.team, "tasks": v.tasks,
+				"verdict": a.Verdict, "ran": a.Ran, "reason": a.Reason, "message": a.Message,
+				"duration_ms": v.took.Milliseconds(), "trace_id": a.TraceID,
+			}).Info("verdict")
+		}
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/version"
+)
+
+// Status implements ingress.Service.
+func (e *Entry) Status(ctx context.Context) *ingress.Status {
+	s, ok := ask(ctx, e, func(c *core) *ingress.Status { return c.status() })
+	if !ok {
+		s = &ingress.Status{}
+	}
+	s.Entry, s.Incarnation, s.Zone, s.Version = e.self.Name, e.self.Incarnation, e.self.Zone, version.String()
+	s.NotReady = e.Ready()
+	s.Ready = s.NotReady == ""
+	seen, err := e.health.get()
+	s.PlatformReachable = err == nil && !seen.IsZero()
+	if !seen.IsZero() {
+		s.PlatformSeen = seen.UTC().Format(time.RFC3339)
+	}
+	s.WhatToDo = append(s.WhatToDo, advice(s)...)
+	if len(s.WhatToDo) == 0 {
+		s.WhatToDo = []string{"nothing"}
+	}
+	return s
+}
+
+func advice(s *ingress.Status) []string {
+	var out []string
+	if !s.PlatformReachable {
+		out = append(out, "the platform cannot be reached: check platform_address and the platform; jobs continue, but entries, agents and configuration cannot change")
+	}
+	if s.ConfigVersion == 0 {
+		out = append(out, "no configuration is in effect: apply a sheet with `sesamelift sheet apply`")
+	}
+	if s.Workers == 0 {
+		out = append(out, "no worker is connected: start sesamelift-agent on the hosts of the backend servers")
+	}
+	for _, u := range s.Unresolved {
+		out = append(out, fmt.Sprintf("keys of the former entry incarnation %d wait for the agents of %s: check these hosts; if a host is off for good, run `sesamelift workers -retire NAME`", u.Incarnation, strings.Join(u.Workers, ", ")))
+	}
+	return out
+}
+
+func (c *core) status() *ingress.Status {
+	s := &ingress.Status{
+		RosterVersion: c.rosterVersion(), ConfigVersion: c.config.Version, Workers: len(c.workers),
+		Jobs: c.jobs.Running(), QueuedTasks: c.queue.Len(), Queued: []ingress.Queued{}, Entries: []string{},
+	}
+	if r := c.own.Roster(); r != nil {
+		for _, m := range r.Members {
+			s.Entries = append(s.Entries, m.Name)
+		}
+	}
+	for k, n := range c.queued {
+		s.Queued = append(s.Queued, ingress.Queued{Service: k[0], Team: k[1], Tasks: n})
+	}
+	slices.SortFunc(s.Queued, func(a, b ingress.Queued) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
+	})
+	for _, f := range c.own.Pending().Fences {
+		s.Unresolved = append(s.Unresolved, ingress.Unresolved{Incarnation: f.Incarnation, Workers: f.Workers})
+	}
+	return s
+}
+
+// Workers implements ingress.Service.
+func (e *Entry) Workers(ctx context.Context) []ingress.Worker {
+	w, _ := ask(ctx, e, func(c *core) []ingress.Worker { return c.workerList() })
+	return w
+}
+
+func (c *core) workerList() []ingress.Worker {
+	out := []ingress.Worker{}
+	for _, st := range c.placement.Agents(c.now()) {
+		ag := c.agents[st.ID]
+		if ag == nil || ag.conn == nil {
+			continue
+		}
+		w := ingress.Worker{
+			Worker: ag.worker, Zone: ag.zone, Incarnation: ag.id, Services: ag.services,
+			Slots: int(ag.load.Slots), Running: int(ag.load.Running), Held: int(ag.load.Held),
+			Ejected: st.Ejected, Leaving: ag.load.Leaving, ConfigVersion: ag.load.ConfigVersion,
+		}
+		if st.Ejected {
+			w.Why = st.Reason
+		}
+		if cw, ok := c.config.Worker(ag.worker); ok {
+			w.Drained = cw.Drain
+		}
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b ingress.Worker) int { return cmp.Compare(a.Worker, b.Worker) })
+	return out
+}
--- /dev/null
+++ b/ingress/service.go
@@ -0,0 +1,101 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+// Service handles what the HTTP interface has accepted. All methods are safe
+// for concurrent use.
+type Service interface {
+	// Submit runs a job. With wait false it returns once the job is accepted or
+	// refused. The end of ctx ends the wait; it does not cancel the job.
+	Submit(ctx context.Context, key api.Key, s *api.Submission, wait bool) *api.Answer
+	// Get returns the answer of a job of the team.
+	Get(ctx context.Context, key api.Key, team string, wait bool) *api.Answer
+	// Cancel fails a job of the team that is in progress.
+	Cancel(ctx context.Context, key api.Key, team string) *api.Answer
+	// Ready returns an empty text, or why the entry takes no new jobs.
+	Ready() string
+	// Status describes the entry to the operator.
+	Status(ctx context.Context) *Status
+	// Workers lists the connected workers.
+	Workers(ctx context.Context) []Worker
+}
+
+// Status describes an entry to the operator.
+type Status struct {
+	Entry       string `json:"entry"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Version     string `json:"version"`
+	// Ready is true, or NotReady says why not.
+	Ready             bool     `json:"ready"`
+	NotReady          string   `json:"not_ready,omitempty"`
+	RosterVersion     uint64   `json:"roster_version"`
+	Entries           []string `json:"entries"`
+	ConfigVersion     uint64   `json:"config_version"`
+	PlatformReachable bool     `json:"platform_reachable"`
+	PlatformSeen      string   `json:"platform_seen,omitempty"`
+	Workers           int      `json:"workers"`
+	Jobs              int      `json:"jobs"`
+	QueuedTasks       int      `json:"queued_tasks"`
+	Queued            []Queued `json:"queued"`
+	// Unresolved lists entries whose earlier keys are blocked until all agents
+	// have answered, with the workers that have not.
+	Unresolved []Unresolved `json:"unresolved,omitempty"`
+	// WhatToDo holds one sentence for each thing that needs the operator.
+	WhatToDo []string `json:"what_to_do"`
+}
+
+// Queued is the number of waiting tasks of a team for a service.
+type Queued struct {
+	Service string `json:"service"`
+	Team    string `json:"team"`
+	Tasks   int    `json:"tasks"`
+}
+
+// Unresolved is an entry incarnation that has left and may still have keys.
+type Unresolved struct {
+	Incarnation uint64   `json:"incarnation"`
+	Workers     []string `json:"workers"`
+}
+
+// Worker describes a connected worker to the operator.
+type Worker struct {
+	Worker      string   `json:"worker"`
+	Zone        string   `json:"zone"`
+	Incarnation uint64   `json:"incarnation"`
+	Services    []string `json:"services"`
+	Slots       int      `json:"slots"`
+	Running     int      `json:"running"`
+	Held        int      `json:"held"`
+	Ejected     bool     `json:"ejected"`
+	// Why says why the worker is ejected.
+	Why           string `json:"why,omitempty"`
+	Leaving       bool   `json:"leaving"`
+	Drained       bool   `json:"drained"`
+	ConfigVersion uint64 `json:"config_version"`
+}
+
+// Options configures a Server.
+type Options struct {
+	Service       Service
+	OperatorToken string
+	// TeamTokens maps each team to the token of its callers.
+	TeamTokens map[string]string
+	// RequestsPerSecond bounds the requests of one team.
+	RequestsPerSecond int
+}
+
+const (
+	// Limits of the HTTP server.
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// writeTimeout leaves room for a job with the longest deadline.
+	writeTimeout   = api.MaxDeadline + time.Minute
+	maxHeaderBytes = 16 << 10
+)
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sesamelift/sesamelift/api"
@@ -67,6 +68,18 @@
 	return nil
 }
 
+// Idempotent reports whether the submission of the key was marked idempotent.
+func (t *Table) Idempotent(key api.Key) bool {
+	r := t.records[key]
+	return r != nil && r.idempotent
+}
+
+// HasWaiting reports whether a running job has tasks that have not started.
+func (t *Table) HasWaiting(key api.Key) bool {
+	j := t.Job(key)
+	return j != nil && slices.ContainsFunc(j.tasks, func(k task) bool { return k.state == waiting })
+}
+
 // Keys returns the keys that the table remembers and that sel selects.
 func (t *Table) Keys(sel func(api.Key) bool) []api.Key {
 	var keys []api.Key
--- a/jobs/tasks.go
+++ b/jobs/tasks.go
@@ -76,6 +76,9 @@
 		}
 		return t.Result(agent, &r)
 	}
+	if m.State != wire.StateForgotten {
+		return t.end(j, m.Task, api.RanMaybe, api.ReasonTaskInDoubt, fmt.Sprintf("the agent of task %d no longer knows whether it ran", m.Task))
+	}
 	return t.end(j, m.Task, api.RanYes, api.ReasonAnswerForgotten, fmt.Sprintf("task %d ran, but its agent no longer keeps the result", m.Task))
 }
 
