Add task queue with fair sharing between teams

Cause: the entry needs an order for admitted tasks that wait for a slot. Change: start-time fair queueing between teams, then the job with the fewest tasks remaining, short before long, bounded by age within a team. Add reports false when a new job would exceed MaxTasks; tasks that come back always fit. Ruled out: age across teams, since a team with old jobs would then starve the others.

--- /dev/null
+++ b/queue/heap.go
@@ -0,0 +1,84 @@
+package queue
+
+import "github.com/sesamelift/sesamelift/wire"
+
+// Orders of the jobs of a team.
+const (
+	byRemaining = iota
+	byArrival
+)
+
+type job struct {
+	Job
+	team      *team
+	waiting   []uint16
+	remaining int
+	// index is the position in the heaps of the team by order, or -1.
+	index [2]int
+}
+
+// jobHeap implements heap.Interface.
+type jobHeap struct {
+	order int
+	jobs  []*job
+}
+
+func (h *jobHeap) Len() int { return len(h.jobs) }
+
+func (h *jobHeap) Less(i, j int) bool {
+	a, b := h.jobs[i], h.jobs[j]
+	if h.order == byRemaining && a.remaining != b.remaining {
+		return a.remaining < b.remaining
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+func (h *jobHeap) Swap(i, j int) {
+	h.jobs[i], h.jobs[j] = h.jobs[j], h.jobs[i]
+	h.jobs[i].index[h.order], h.jobs[j].index[h.order] = i, j
+}
+
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.index[h.order] = len(h.jobs)
+	h.jobs = append(h.jobs, j)
+}
+
+func (h *jobHeap) Pop() any {
+	last := len(h.jobs) - 1
+	j := h.jobs[last]
+	h.jobs[last] = nil
+	h.jobs = h.jobs[:last]
+	j.index[h.order] = -1
+	return j
+}
+
+// teamHeap implements heap.Interface; the lowest virtual time goes first.
+type teamHeap struct {
+	class wire.Class
+	teams []*team
+}
+
+func (h *teamHeap) Len() int { return len(h.teams) }
+
+func (h *teamHeap) Less(i, j int) bool { return h.teams[i].virtual < h.teams[j].virtual }
+
+func (h *teamHeap) Swap(i, j int) {
+	h.teams[i], h.teams[j] = h.teams[j], h.teams[i]
+	h.teams[i].index[h.class], h.teams[j].index[h.class] = i, j
+}
+
+func (h *teamHeap) Push(x any) {
+	t := x.(*team)
+	t.index[h.class] = len(h.teams)
+	h.teams = append(h.teams, t)
+}
+
+func (h *teamHeap) Pop() any {
+	last := len(h.teams) - 1
+	t := h.teams[last]
+	h.teams[last] = nil
+	h.teams = h.teams[:last]
+	t.index[h.class] = -1
+	return t
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,144 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func anyClass(string, wire.Class) bool { return true }
+
+func shortOnly(_ string, c wire.Class) bool { return c == wire.ClassShort }
+
+func tasks(n int) []uint16 {
+	out := make([]uint16, n)
+	for i := range out {
+		out[i] = uint16(i)
+	}
+	return out
+}
+
+func add(q *Queue, id byte, team string, weight, n int, c wire.Class, arrived time.Time) wire.Key {
+	k := wire.Key{id}
+	q.Add(Job{Key: k, Service: "s", Team: team, Weight: weight, Class: c, Arrived: arrived, Tasks: n}, tasks(n)...)
+	return k
+}
+
+// Guards against a wrong order within a team.
+func TestOrderWithinTeam(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		now  time.Time
+		free func(string, wire.Class) bool
+		want byte
+	}{
+		{"fewest tasks remaining, short first", t0.Add(time.Second), anyClass, 2},
+		{"a job older than the bound", t0.Add(3 * time.Second), anyClass, 3},
+		{"short passes the older long job", t0.Add(3 * time.Second), shortOnly, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := New(Options{})
+			add(q, 1, "a", 1, 100, wire.ClassShort, t0.Add(2*time.Second))
+			add(q, 2, "a", 1, 5, wire.ClassShort, t0.Add(2*time.Second))
+			add(q, 3, "a", 1, 2, wire.ClassLong, t0)
+			k, _, ok := q.Next(c.now, c.free)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, k[0], qt.Equals, c.want)
+		})
+	}
+}
+
+// Guards against a job that is nearly done waiting behind a fresh smaller one.
+func TestFinishedTasksMoveAJobForward(t *testing.T) {
+	q := New(Options{})
+	big := add(q, 1, "a", 1, 10, wire.ClassShort, t0)
+	add(q, 2, "a", 1, 4, wire.ClassShort, t0)
+	for range 7 {
+		q.Finished(big)
+	}
+	k, _, _ := q.Next(t0, anyClass)
+	qt.Assert(t, k, qt.Equals, big)
+}
+
+// Guards against a team that floods the queue and starves another one, also by
+// age and by having been idle.
+func TestTeamsShareByWeight(t *testing.T) {
+	q := New(Options{MaxTasks: 10000})
+	for i := range 20 {
+		add(q, byte(i), "flood", 1, 100, wire.ClassShort, t0)
+	}
+	late := t0.Add(10 * time.Second)
+	for range 500 {
+		q.Next(late, anyClass)
+	}
+	add(q, 200, "small", 3, 100, wire.ClassShort, late)
+	got := 0
+	for range 100 {
+		if k, _, _ := q.Next(late, anyClass); k[0] == 200 {
+			got++
+		}
+	}
+	qt.Assert(t, got >= 74 && got <= 76, qt.IsTrue, qt.Commentf("team of weight 3 of 4 got %d of 100", got))
+}
+
+// Guards against unbounded growth, and against losing a task that comes back.
+func TestBoundAndReturningTasks(t *testing.T) {
+	q := New(Options{MaxTasks: 10})
+	k := add(q, 1, "a", 1, 10, wire.ClassShort, t0)
+	qt.Assert(t, q.Add(Job{Key: wire.Key{2}, Service: "s", Tasks: 1}, 0), qt.IsFalse)
+	_, task, _ := q.Next(t0, anyClass)
+	q.Add(Job{Key: wire.Key{3}, Service: "s", Tasks: 1}, 0)
+	qt.Assert(t, q.Add(Job{Key: k, Service: "s"}, task), qt.IsTrue)
+	qt.Assert(t, q.Len(), qt.Equals, 11)
+	qt.Assert(t, len(q.Remove(k)), qt.Equals, 10)
+	qt.Assert(t, q.Remove(k), qt.IsNil)
+	qt.Assert(t, q.Waiting("s", wire.ClassShort), qt.Equals, 1)
+}
+
+// Guards against tasks that are lost or returned twice under a random sequence
+// of operations, and against records that outlive their jobs.
+func TestEveryTaskLeavesOnce(t *testing.T) {
+	q := New(Options{})
+	seen := map[wire.Key]int{}
+	now := t0
+	for i := range 200 {
+		add(q, byte(i), string(rune('a'+i%7)), i%3, 1+i%50, wire.Class(i%2), now)
+		now = now.Add(50 * time.Millisecond)
+		for range i % 40 {
+			if k, _, ok := q.Next(now, anyClass); ok {
+				seen[k]++
+				q.Finished(k)
+			}
+		}
+	}
+	for {
+		k, _, ok := q.Next(now, anyClass)
+		if !ok {
+			break
+		}
+		seen[k]++
+		q.Finished(k)
+	}
+	for i := range 200 {
+		qt.Assert(t, seen[wire.Key{byte(i)}], qt.Equals, 1+i%50)
+	}
+	qt.Assert(t, q.jobs, qt.HasLen, 0)
+	qt.Assert(t, q.Len(), qt.Equals, 0)
+}
+
+func BenchmarkQueue(b *testing.B) {
+	q := New(Options{MaxTasks: 1 << 20})
+	for i := range 250 {
+		add(q, byte(i), string(rune('a'+i%40)), 1, 80, wire.Class(i%2), t0)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		k, task, _ := q.Next(t0, anyClass)
+		q.Add(Job{Key: k}, task)
+	}
+}
