--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,84 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func TestAdmit(t *testing.T) {
+	idle := Supply{Slots: 88, RunTime: 200 * time.Millisecond}
+	full := Supply{Slots: 88, Busy: 88, Others: 44, Waiting: 440, RunTime: 200 * time.Millisecond}
+	for _, c := range []struct {
+		name    string
+		teams   map[string]Team
+		entries int
+		used    int
+		tasks   int
+		left    time.Duration
+		supply  Supply
+		want    api.Reason // "" for admitted
+	}{
+		{"idle", nil, 1, 0, 170, time.Second, idle, ""},
+		{"no agent", nil, 1, 0, 1, time.Second, Supply{}, api.ReasonNoWorker},
+		{"expected wait within the time left", nil, 2, 0, 1, 3 * time.Second, full, ""},
+		{"expected wait too long", nil, 2, 0, 1, 2 * time.Second, full, api.ReasonOverload},
+		{"no observation yet", nil, 1, 0, 1, time.Millisecond, Supply{Slots: 8, Busy: 8, Waiting: 100}, ""},
+		{"too many queued", nil, 1, 0, 170, time.Hour, Supply{Slots: 8, Busy: 8, Waiting: 950, RunTime: time.Millisecond}, api.ReasonOverload},
+		{"other entries use all slots", nil, 2, 0, 20, time.Second, Supply{Slots: 88, Busy: 88, Others: 88, RunTime: 200 * time.Millisecond}, ""},
+		{"quota reached", map[string]Team{"a": {Quota: 100}}, 2, 40, 11, time.Second, idle, api.ReasonQuota},
+		{"quota part rounded up", map[string]Team{"a": {Quota: 101}}, 2, 40, 11, time.Second, idle, ""},
+		{"job larger than the part, nothing else", map[string]Team{"a": {Quota: 100}}, 2, 0, 90, time.Second, idle, ""},
+		{"job larger than the quota", map[string]Team{"a": {Quota: 100}}, 2, 0, 101, time.Second, idle, api.ReasonQuota},
+		{"quota of another team", map[string]Team{"b": {Quota: 1}}, 2, 100, 100, time.Second, idle, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(Options{MaxQueuedTasks: 1000})
+			s.SetTeams(c.teams, c.entries)
+			s.used["a"] = c.used
+			v := s.Admit(now, Request{Service: "s", Team: "a", Tasks: c.tasks, TimeLeft: c.left}, c.supply)
+			if c.want == "" {
+				qt.Assert(t, v == nil, qt.IsTrue, qt.Commentf("%v", v))
+				qt.Assert(t, s.used["a"], qt.Equals, c.used+c.tasks)
+				return
+			}
+			qt.Assert(t, v != nil, qt.IsTrue)
+			qt.Assert(t, v.Reason, qt.Equals, c.want)
+			qt.Assert(t, v.Ran, qt.Equals, api.RanNo)
+			qt.Assert(t, s.used["a"], qt.Equals, c.used)
+			if c.want == api.ReasonOverload {
+				qt.Assert(t, v.RetryAfter >= minRetryAfter, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// Guards against quota that is not given back, or given back twice.
+func TestRelease(t *testing.T) {
+	s := New(Options{})
+	s.SetTeams(map[string]Team{"a": {Quota: 10}}, 1)
+	r, p := Request{Team: "a", Tasks: 10, TimeLeft: time.Second}, Supply{Slots: 8}
+	for range 3 {
+		qt.Assert(t, s.Admit(now, r, p) == nil, qt.IsTrue)
+		qt.Assert(t, s.Admit(now, r, p) != nil, qt.IsTrue)
+		s.Release("a", 10)
+		s.Release("a", 10)
+	}
+	qt.Assert(t, s.used, qt.HasLen, 0)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	s := New(Options{})
+	s.SetTeams(map[string]Team{"a": {Quota: 1000}}, 3)
+	r, p := Request{Service: "s", Team: "a", Tasks: 80, TimeLeft: time.Second}, Supply{Slots: 7120, Busy: 5000, RunTime: 200 * time.Millisecond}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Admit(now, r, p)
+		s.Release("a", 80)
+	}
+}
