Add placement with estimates, learned run times and ejection

Cause: the entry needs an agent for each task without a round trip. Change: policies estimate, random and power-of-two; a heap of agents by estimated free slots per service and class; classes learned per request type; ejection by failures and speed with readmission in steps. A failed task keeps its slot in the estimate for two typical run times, so that a worker that fails fast attracts no work. Ruled out: buckets by free slots; the heap key holds all four preferences and needs no scan for ties. Ranking an agent in readmission by its limit: it then got no task at all until the others were full.

--- /dev/null
+++ b/placement/agent.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+// defaultRunTime stands for the run time of a service before any observation.
+const defaultRunTime = 200 * time.Millisecond
+
+// agent is what an entry knows of one agent.
+type agent struct {
+	id           uint64
+	worker, zone string
+	members      []member
+	up           bool
+	downAt       time.Time
+
+	slots   int
+	leaving bool
+	// own and ownLong are the exact counts of this entry's tasks in flight.
+	own, ownLong int
+	// others and othersLong are the tasks of other entries at reportAt.
+	others, othersLong float64
+	reportAt           time.Time
+
+	health health
+}
+
+// member is the place of an agent in the ranking of one service.
+type member struct {
+	service *service
+	allowed bool
+	pos     [2]int
+}
+
+// report takes a load report. What exceeds this entry's own tasks belongs to
+// others.
+func (g *agent) report(l wire.Load, now time.Time) {
+	g.slots, g.leaving = int(l.Slots), l.Leaving
+	g.others = max(float64(int(l.Running)+int(l.Held)-g.own), 0)
+	g.othersLong = max(float64(int(l.RunningLong)-g.ownLong), 0)
+	g.reportAt = now
+}
+
+// full records that the agent had no slot.
+func (g *agent) full(now time.Time) {
+	g.others = max(float64(g.slots-g.own), 0)
+	g.reportAt = now
+}
+
+func (g *agent) start(c wire.Class, _ time.Time) {
+	g.own++
+	if c == wire.ClassLong {
+		g.ownLong++
+	}
+}
+
+func (g *agent) end(c wire.Class) {
+	g.own = max(g.own-1, 0)
+	if c == wire.ClassLong {
+		g.ownLong = max(g.ownLong-1, 0)
+	}
+}
+
+// decay is the part of the other entries' reported tasks that is still there.
+func (g *agent) decay(now time.Time) float64 {
+	age := now.Sub(g.reportAt)
+	if age <= 0 || g.others == 0 {
+		return 1
+	}
+	runTime := defaultRunTime
+	if len(g.members) > 0 {
+		if d := g.members[0].service.runTime.duration(); d > 0 {
+			runTime = d
+		}
+	}
+	return math.Exp(-float64(age) / float64(runTime))
+}
+
+func (g *agent) othersNow(now time.Time) float64 { return g.others * g.decay(now) }
+
+// free returns the estimated free slots.
+func (g *agent) free(now time.Time) int { return g.freeAt(g.decay(now), now) }
+
+func (g *agent) freeAt(decay float64, now time.Time) int {
+	return g.slots - g.own - int(g.others*decay+0.5) - g.health.reserved(now)
+}
+
+// room returns the estimated slots by class. During readmission the limit
+// decides whether the agent has room, but not its place among the others, since
+// it would otherwise get no task until all others are full.
+func (g *agent) room(share float64, now time.Time) (room [2]int) {
+	if limit := g.health.limit; limit > 0 && g.own >= limit {
+		return room
+	}
+	decay := g.decay(now)
+	free := g.freeAt(decay, now)
+	long := longSlots(g.slots, share) - g.ownLong - int(g.othersLong*decay+0.5)
+	return [2]int{free, min(free, long)}
+}
+
+// ownRoom reports whether this entry's own tasks leave a slot; the baseline
+// policies know nothing else.
+func (g *agent) ownRoom(c wire.Class, share float64) bool {
+	if limit := g.health.limit; limit > 0 && g.own >= limit {
+		return false
+	}
+	return g.own < g.slots && (c == wire.ClassShort || g.ownLong < longSlots(g.slots, share))
+}
+
+func longSlots(slots int, share float64) int { return max(int(float64(slots)*share), 1) }
+
+// usable reports whether the agent may get tasks of the service at all.
+func (g *agent) usable(m int, now time.Time) bool {
+	return g.up && !g.leaving && g.members[m].allowed && !g.health.ejected(now)
+}
+
+// join makes services the services of the agent.
+func (s *State) join(g *agent, services []string) {
+	same := len(services) == len(g.members)
+	for i := range g.members {
+		same = same && g.members[i].service.name == services[i]
+	}
+	if same {
+		return
+	}
+	for i := range g.members {
+		v := g.members[i].service
+		for c := range v.ranks {
+			v.ranks[c].remove(g.members[i].pos[c])
+		}
+		g.health.leave(v)
+	}
+	g.members = g.members[:0]
+	for i, name := range services {
+		if slices.Contains(services[:i], name) {
+			continue
+		}
+		v := s.service(name)
+		g.members = append(g.members, member{service: v, allowed: s.allows(g.worker, name)})
+		for c := range v.ranks {
+			v.ranks[c].add(g, len(g.members)-1)
+		}
+		g.health.enter(v)
+	}
+}
+
+func (s *State) service(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{name: name}
+		v.ranks[wire.ClassLong].class = wire.ClassLong
+		s.services[name] = v
+	}
+	return v
+}
+
+// rank puts the agent at its place in the rankings of its services.
+func (s *State) rank(g *agent) {
+	tie := s.rand.Uint64() & tieMask
+	room := g.room(s.o.LongShare, s.now)
+	for i := range g.members {
+		m := &g.members[i]
+		usable := g.usable(i, s.now)
+		for c := range room {
+			k := uint64(0)
+			if usable && room[c] > 0 {
+				k = key(room[c], g.health.slowStep, g.zone == s.o.Zone, tie)
+			}
+			m.service.ranks[c].set(m.pos[c], k)
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,296 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+var zones = []string{"salalah-kiln", "taqah-shed", "mirbat-store"}
+
+func fleet(n int, o Options) *State {
+	s := New(o)
+	for i := range n {
+		s.AgentUp(Agent{
+			ID: uint64(i + 1), Worker: fmt.Sprintf("w%d", i+1), Zone: zones[i%3],
+			Services: []string{"s"}, Load: wire.Load{Slots: 8},
+		}, t0)
+	}
+	return s
+}
+
+// picks takes up to n slots and counts them by agent.
+func picks(s *State, n int, c wire.Class, now time.Time) map[uint64]int {
+	got := map[uint64]int{}
+	for range n {
+		if id, ok := s.Pick("s", c, now); ok {
+			got[id]++
+		}
+	}
+	return got
+}
+
+func ok(c wire.Class, typ string, d time.Duration) Done {
+	return Done{Service: "s", Type: typ, Class: c, Outcome: wire.OutcomeOK, RunTime: d}
+}
+
+// Guards against starts on agents that must not get any, and against starts
+// beyond the slots.
+func TestWhoGetsWork(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(s *State)
+		agent1  int
+		of      int
+		service string
+	}{
+		{"all slots", func(*State) {}, 8, 32, "s"},
+		{"leaving", func(s *State) { s.Report(1, wire.Load{Slots: 8, Leaving: true}, nil, t0) }, 0, 24, "s"},
+		{"drained or not allowed", func(s *State) {
+			s.SetWorkers(func(w, _ string) bool { return w != "w1" })
+		}, 0, 24, "s"},
+		{"connection gone", func(s *State) { s.AgentDown(1) }, 0, 24, "s"},
+		{"service changed", func(s *State) { s.Report(1, wire.Load{Slots: 8}, []string{"other"}, t0) }, 0, 24, "s"},
+		{"used by another entry", func(s *State) { s.Report(1, wire.Load{Slots: 8, Running: 5, Held: 1}, nil, t0) }, 2, 26, "s"},
+		{"busy", func(s *State) {
+			picks(s, 1, wire.ClassShort, t0)
+			s.Done(1, Done{Service: "s", Outcome: wire.OutcomeBusy}, t0)
+		}, 0, 24, "s"},
+	} {
+		for _, policy := range []string{Estimate, Random, PowerOfTwo} {
+			if policy != Estimate && (c.name == "used by another entry" || c.name == "busy") {
+				continue // baselines know their own tasks only
+			}
+			t.Run(c.name+"/"+policy, func(t *testing.T) {
+				s := fleet(4, Options{Policy: policy})
+				c.change(s)
+				got := picks(s, 2000, wire.ClassShort, t0)
+				total := 0
+				for _, n := range got {
+					total += n
+				}
+				qt.Assert(t, got[1], qt.Equals, c.agent1)
+				if c.name != "busy" {
+					qt.Assert(t, total, qt.Equals, c.of)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a wrong order of preferences: free slots, speed, zone.
+func TestPreference(t *testing.T) {
+	s := fleet(3, Options{Zone: zones[1]})
+	id, _ := s.Pick("s", wire.ClassShort, t0)
+	qt.Assert(t, id, qt.Equals, uint64(2), qt.Commentf("same zone"))
+	s.Done(id, ok(wire.ClassShort, "t", 100*time.Millisecond), t0)
+	for range 40 {
+		for id := uint64(1); id <= 3; id++ {
+			d := 100 * time.Millisecond
+			if id == 3 {
+				d /= 2
+			}
+			s.Done(id, ok(wire.ClassShort, "t", d), t0)
+		}
+	}
+	id, _ = s.Pick("s", wire.ClassShort, t0)
+	qt.Assert(t, id, qt.Equals, uint64(3), qt.Commentf("faster"))
+	id, _ = s.Pick("s", wire.ClassShort, t0)
+	qt.Assert(t, id, qt.Equals, uint64(2), qt.Commentf("more free slots"))
+}
+
+// Guards against an estimate that never forgets what other entries ran.
+func TestReportDecays(t *testing.T) {
+	s := fleet(1, Options{})
+	s.Report(1, wire.Load{Slots: 8, Running: 8}, nil, t0)
+	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0), qt.IsFalse)
+	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0.Add(time.Second)), qt.IsTrue)
+}
+
+// Guards against long tasks that take every slot.
+func TestLongTasksTakeTheirShare(t *testing.T) {
+	s := fleet(2, Options{})
+	s.Report(1, wire.Load{Slots: 8, Running: 3, RunningLong: 3}, nil, t0)
+	got := picks(s, 100, wire.ClassLong, t0)
+	qt.Assert(t, got, qt.DeepEquals, map[uint64]int{1: 3, 2: 6})
+	qt.Assert(t, len(picks(s, 100, wire.ClassShort, t0)), qt.Equals, 2)
+}
+
+// Guards against wrong classes: by the typical run time, not by stragglers.
+func TestClassIsLearned(t *testing.T) {
+	s := fleet(1, Options{MaxTypes: 4})
+	qt.Assert(t, s.Class("s", "bulk"), qt.Equals, wire.ClassShort)
+	for i := range 64 {
+		d := 20 * time.Millisecond
+		if i%50 == 49 {
+			d *= 100
+		}
+		s.Done(1, ok(wire.ClassShort, "spot", d), t0)
+		s.Done(1, ok(wire.ClassShort, "press", 90*time.Millisecond), t0)
+		s.Done(1, ok(wire.ClassShort, "bulk", 2*time.Second), t0)
+	}
+	qt.Assert(t, s.Class("s", "spot"), qt.Equals, wire.ClassShort)
+	qt.Assert(t, s.Class("s", "press"), qt.Equals, wire.ClassShort)
+	qt.Assert(t, s.Class("s", "bulk"), qt.Equals, wire.ClassLong)
+	for i := range 100 {
+		s.Done(1, ok(wire.ClassShort, fmt.Sprint(i), time.Second), t0.Add(time.Second))
+	}
+	qt.Assert(t, s.types.known, qt.HasLen, 4)
+}
+
+// simulate runs a closed load on 11 agents for a time. Agent 1 behaves as bad
+// says. It returns the ends by agent after the first second.
+func simulate(s *State, d time.Duration, load int, bad func(now time.Time) (wire.Outcome, time.Duration)) map[uint64]int {
+	type run struct {
+		id  uint64
+		end time.Time
+		d   Done
+	}
+	var runs []run
+	got := map[uint64]int{}
+	r := rand.New(rand.NewPCG(1, 1))
+	for now := t0; now.Before(t0.Add(d)); now = now.Add(time.Millisecond) {
+		kept := runs[:0]
+		for _, x := range runs {
+			if now.Before(x.end) {
+				kept = append(kept, x)
+				continue
+			}
+			s.Done(x.id, x.d, now)
+			if now.Sub(t0) > time.Second {
+				got[x.id]++
+			}
+		}
+		runs = kept
+		for len(runs) < load {
+			id, found := s.Pick("s", wire.ClassShort, now)
+			if !found {
+				break
+			}
+			x := run{id: id, d: ok(wire.ClassShort, "t", time.Duration(50+r.IntN(300))*time.Millisecond)}
+			if id == 1 {
+				x.d.Outcome, x.d.RunTime = bad(now)
+			}
+			x.end = now.Add(x.d.RunTime)
+			runs = append(runs, x)
+		}
+	}
+	return got
+}
+
+// Guards against an agent that fails fast and so attracts the work of the
+// others, against one that is far too slow, and against no way back.
+func TestEjection(t *testing.T) {
+	failing := func(time.Time) (wire.Outcome, time.Duration) { return wire.OutcomeFailed, time.Millisecond }
+	for _, c := range []struct {
+		name     string
+		bad      func(time.Time) (wire.Outcome, time.Duration)
+		min, max float64 // share of the ends
+	}{
+		{"fails fast", failing, 0, 0.005},
+		{"refuses fast", func(time.Time) (wire.Outcome, time.Duration) { return wire.OutcomeRefused, time.Millisecond }, 0, 0.005},
+		{"slow", func(time.Time) (wire.Outcome, time.Duration) { return wire.OutcomeOK, 3 * time.Second }, 0, 0.01},
+		{"recovers", func(now time.Time) (wire.Outcome, time.Duration) {
+			if now.Sub(t0) < time.Second {
+				return wire.OutcomeFailed, time.Millisecond
+			}
+			return wire.OutcomeOK, 200 * time.Millisecond
+		}, 0.05, 0.1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := simulate(fleet(11, Options{}), 15*time.Second, 70, c.bad)
+			total := 0
+			for _, n := range got {
+				total += n
+			}
+			share := float64(got[1]) / float64(total)
+			qt.Assert(t, share >= c.min && share <= c.max, qt.IsTrue, qt.Commentf("share %.4f of %d", share, total))
+		})
+	}
+}
+
+// Guards against attracting work before the first ejection, where ejection is
+// not possible.
+func TestFastFailureGetsNoMoreThanItsShare(t *testing.T) {
+	s := fleet(2, Options{})
+	got := simulate(s, 5*time.Second, 12, func(time.Time) (wire.Outcome, time.Duration) {
+		return wire.OutcomeFailed, time.Millisecond
+	})
+	qt.Assert(t, got[1] <= got[2], qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// Guards against ejecting so many agents that the rest cannot serve.
+func TestEjectionIsBounded(t *testing.T) {
+	s := fleet(11, Options{})
+	for range 100 {
+		for id := uint64(1); id <= 5; id++ {
+			s.Done(id, Done{Service: "s", Outcome: wire.OutcomeFailed}, t0)
+		}
+		for id := uint64(6); id <= 11; id++ {
+			s.Done(id, ok(wire.ClassShort, "t", time.Millisecond), t0)
+		}
+	}
+	ejected := 0
+	for _, a := range s.Agents(t0) {
+		if a.Ejected {
+			ejected++
+		}
+	}
+	qt.Assert(t, ejected, qt.Equals, 3)
+}
+
+// Guards against losing the count of tasks in flight over a reconnection, and
+// against records of agents that never come back.
+func TestReconnection(t *testing.T) {
+	s := fleet(2, Options{})
+	qt.Assert(t, picks(s, 16, wire.ClassShort, t0), qt.HasLen, 2)
+	s.AgentDown(1)
+	s.AgentUp(Agent{ID: 1, Worker: "w1", Services: []string{"s"}, Load: wire.Load{Slots: 8, Running: 8}}, t0)
+	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0), qt.IsFalse)
+	s.Done(1, ok(wire.ClassShort, "t", time.Millisecond), t0)
+	qt.Assert(t, picks(s, 16, wire.ClassShort, t0), qt.DeepEquals, map[uint64]int{1: 1})
+	s.AgentDown(2)
+	s.AgentUp(Agent{ID: 3, Worker: "w3", Services: []string{"s"}}, t0.Add(2*downMemory))
+	qt.Assert(t, s.list, qt.HasLen, 2)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{11, 100, 890} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := fleet(n, Options{Zone: zones[0]})
+			got := picks(s, n*6, wire.ClassShort, t0)
+			ids := make([]uint64, 0, n)
+			for id := range got {
+				ids = append(ids, id)
+			}
+			now := t0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Microsecond)
+				id := ids[i%n]
+				s.Report(id, wire.Load{Slots: 8, Running: 7}, nil, now)
+				s.Done(id, ok(wire.ClassShort, "t", 100*time.Millisecond), now)
+				if _, found := s.Pick("s", wire.ClassShort, now); !found {
+					b.Fatal("no agent found")
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("only/%d", n), func(b *testing.B) {
+			s := fleet(n, Options{Zone: zones[0]})
+			now := t0
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(10 * time.Microsecond)
+				id, _ := s.Pick("s", wire.ClassShort, now)
+				s.agents[id].end(wire.ClassShort)
+			}
+		})
+	}
+}
