Do not count starts under way as running at the agent

Cause: a load report that crosses a start counted the start among this entry's running tasks and so hid as many tasks of other entries. Change: an agent keeps the times of its last 8 starts; starts within Options.Transit (1 ms) are left out when a report is taken. Ruled out: measuring the round trip per agent, since Done does not carry the time of the start. TestReconnection now reports a second after its starts, as its scene means; its checks are unchanged.

--- a/placement/agent.go
+++ b/placement/agent.go
@@ -26,6 +26,9 @@
 	// others and othersLong are the tasks of other entries at reportAt.
 	others, othersLong float64
 	reportAt           time.Time
+	// recent holds the last starts, so that a report does not count starts that
+	// had not reached the agent as running there.
+	recent recent
 
 	health health
 }
@@ -37,12 +40,42 @@
 	pos     [2]int
 }
 
-// report takes a load report. What exceeds this entry's own tasks belongs to
-// others.
-func (g *agent) report(l wire.Load, now time.Time) {
+// recent is a ring of the times of the last starts.
+type recent struct {
+	at   [recentStarts]time.Time
+	long [recentStarts]bool
+	next int
+}
+
+// recentStarts bounds the starts that one agent can have in transit; more than
+// a few would need a burst to a single agent.
+const recentStarts = 8
+
+func (r *recent) add(c wire.Class, now time.Time) {
+	r.at[r.next], r.long[r.next] = now, c == wire.ClassLong
+	r.next = (r.next + 1) % recentStarts
+}
+
+// since counts the starts after a time, all and long ones.
+func (r *recent) since(t time.Time) (all, long int) {
+	for i := range r.at {
+		if r.at[i].After(t) {
+			all++
+			if r.long[i] {
+				long++
+			}
+		}
+	}
+	return all, long
+}
+
+// report takes a load report. What exceeds this entry's own tasks that had
+// arrived when the report was sent belongs to others.
+func (g *agent) report(l wire.Load, transit time.Duration, now time.Time) {
+	all, long := g.recent.since(now.Add(-transit))
 	g.slots, g.leaving = int(l.Slots), l.Leaving
-	g.others = max(float64(int(l.Running)+int(l.Held)-g.own), 0)
-	g.othersLong = max(float64(int(l.RunningLong)-g.ownLong), 0)
+	g.others = max(float64(int(l.Running)+int(l.Held)-max(g.own-all, 0)), 0)
+	g.othersLong = max(float64(int(l.RunningLong)-max(g.ownLong-long, 0)), 0)
 	g.reportAt = now
 }
 
@@ -52,7 +85,8 @@
 	g.reportAt = now
 }
 
-func (g *agent) start(c wire.Class, _ time.Time) {
+func (g *agent) start(c wire.Class, now time.Time) {
+	g.recent.add(c, now)
 	g.own++
 	if c == wire.ClassLong {
 		g.ownLong++
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,8 @@
 	LongShare float64
 	// MaxTypes bounds the remembered request types; default 1024.
 	MaxTypes int
+	// Transit is the round trip time to an agent; default 1 ms.
+	Transit time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -79,6 +81,9 @@
 	if o.MaxTypes <= 0 {
 		o.MaxTypes = 1024
 	}
+	if o.Transit <= 0 {
+		o.Transit = time.Millisecond
+	}
 }
 
 // Done describes the end of a start.
@@ -138,7 +143,7 @@
 	}
 	g.worker, g.zone, g.up = a.Worker, a.Zone, true
 	s.join(g, a.Services)
-	g.report(a.Load, now)
+	g.report(a.Load, s.o.Transit, now)
 	s.rank(g)
 }
 
@@ -151,7 +156,8 @@
 }
 
 // Report takes the load that came with a message. Services nil means that they
-// are unchanged.
+// are unchanged. For a Result, Done is called first, since the load of the
+// message does not count the task that ended.
 func (s *State) Report(id uint64, l wire.Load, services []string, now time.Time) {
 	s.now = now
 	g := s.agents[id]
@@ -161,7 +167,7 @@
 	if services != nil {
 		s.join(g, services)
 	}
-	g.report(l, now)
+	g.report(l, s.o.Transit, now)
 	s.rank(g)
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -106,6 +106,18 @@
 	qt.Assert(t, id, qt.Equals, uint64(2), qt.Commentf("more free slots"))
 }
 
+// Guards against counting starts that are under way as running at the agent,
+// which would hide the tasks of other entries.
+func TestReportDoesNotCountStartsUnderWay(t *testing.T) {
+	s := fleet(1, Options{Transit: 3 * time.Millisecond})
+	picks(s, 2, wire.ClassShort, t0)
+	picks(s, 2, wire.ClassLong, t0.Add(9*time.Millisecond))
+	s.Report(1, wire.Load{Slots: 8, Running: 5, RunningLong: 3}, nil, t0.Add(10*time.Millisecond))
+	qt.Assert(t, s.Supply("s").Others, qt.Equals, 3)
+	qt.Assert(t, len(picks(s, 9, wire.ClassShort, t0.Add(10*time.Millisecond))), qt.Equals, 1)
+	qt.Assert(t, s.Agents(t0.Add(10 * time.Millisecond))[0].Own, qt.Equals, 5)
+}
+
 // Guards against an estimate that never forgets what other entries ran.
 func TestReportDecays(t *testing.T) {
 	s := fleet(1, Options{})
@@ -251,11 +263,12 @@
 func TestReconnection(t *testing.T) {
 	s := fleet(2, Options{})
 	qt.Assert(t, picks(s, 16, wire.ClassShort, t0), qt.HasLen, 2)
+	later := t0.Add(time.Second)
 	s.AgentDown(1)
-	s.AgentUp(Agent{ID: 1, Worker: "w1", Services: []string{"s"}, Load: wire.Load{Slots: 8, Running: 8}}, t0)
-	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0), qt.IsFalse)
-	s.Done(1, ok(wire.ClassShort, "t", time.Millisecond), t0)
-	qt.Assert(t, picks(s, 16, wire.ClassShort, t0), qt.DeepEquals, map[uint64]int{1: 1})
+	s.AgentUp(Agent{ID: 1, Worker: "w1", Services: []string{"s"}, Load: wire.Load{Slots: 8, Running: 8}}, later)
+	qt.Assert(t, s.HasRoom("s", wire.ClassShort, later), qt.IsFalse)
+	s.Done(1, ok(wire.ClassShort, "t", time.Millisecond), later)
+	qt.Assert(t, picks(s, 16, wire.ClassShort, later), qt.DeepEquals, map[uint64]int{1: 1})
 	s.AgentDown(2)
 	s.AgentUp(Agent{ID: 3, Worker: "w3", Services: []string{"s"}}, t0.Add(2*downMemory))
 	qt.Assert(t, s.list, qt.HasLen, 2)
