Add the agent: start, backend server, result over QUIC

Cause: entries had nothing that runs their tasks.

Measured: go test -race -count=3 ./agent passes (start to result, second start of a pair, registration with an unavailable platform and a lost reply). slots and backend have no tests of their own yet.

Conclusion: the path from a start to its result works; fault cases follow.

--- /dev/null
+++ b/agent/fakes_test.go
@@ -0,0 +1,321 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/telemetry"
+	"github.com/sesamelift/sesamelift/transport"
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+// wait is the longest that a test waits for something that must happen.
+const wait = 10 * time.Second
+
+// memPlatform is a table in memory that can be unavailable or lose a reply.
+type memPlatform struct {
+	platform.Objects
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	down      bool
+	loseReply bool
+	writes    int
+}
+
+func newMemPlatform() *memPlatform { return &memPlatform{rows: map[string]platform.Row{}} }
+
+func (p *memPlatform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *memPlatform) Get(_ context.Context, key string) (platform.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.rows[key]
+	switch {
+	case p.down:
+		return r, platform.ErrUnavailable
+	case !ok:
+		return r, platform.ErrNotFound
+	}
+	return r, nil
+}
+
+func (p *memPlatform) List(context.Context, string) ([]platform.Row, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (p *memPlatform) CompareAndSet(_ context.Context, key string, want uint64, value []byte) (platform.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	if p.rows[key].Version != want {
+		return platform.Row{}, &platform.ConflictError{Key: key, Want: want, Current: p.rows[key]}
+	}
+	p.writes++
+	r := platform.Row{Key: key, Version: want + 1, Value: value}
+	p.rows[key] = r
+	if p.loseReply {
+		p.loseReply = false
+		return platform.Row{}, &platform.DoubtError{Key: key, Cause: io.ErrUnexpectedEOF}
+	}
+	return r, nil
+}
+
+func (p *memPlatform) Delete(context.Context, string, uint64) error { return platform.ErrUnavailable }
+
+func (p *memPlatform) put(key string, v any) uint64 {
+	b, _ := json.Marshal(v)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	version := p.rows[key].Version + 1
+	p.rows[key] = platform.Row{Key: key, Version: version, Value: b}
+	return version
+}
+
+func (p *memPlatform) registration(t *testing.T) ownership.Registration {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var r ownership.Registration
+	qt.Assert(t, json.Unmarshal(p.rows[platform.PrefixAgents+"w1"].Value, &r), qt.IsNil)
+	return r
+}
+
+// testBackend counts executions per task. Tasks whose body is "wait" end when
+// release is closed.
+type testBackend struct {
+	*httptest.Server
+	mu      sync.Mutex
+	ran     map[string]int
+	release chan struct{}
+}
+
+func newTestBackend(t *testing.T) *testBackend {
+	b := &testBackend{ran: map[string]int{}, release: make(chan struct{})}
+	b.Server = httptest.NewServer(b)
+	t.Cleanup(func() { b.CloseClientConnections(); b.Close() })
+	return b
+}
+
+func (b *testBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	b.mu.Lock()
+	b.ran[r.Header.Get("Sesamelift-Key")+"/"+r.Header.Get("Sesamelift-Task")]++
+	b.mu.Unlock()
+	if string(body) == `"wait"` {
+		select {
+		case <-b.release:
+		case <-r.Context().Done():
+		}
+	}
+	_, _ = w.Write(body)
+}
+
+// executions returns the number of tasks that ran and the largest number of
+// executions of one task.
+func (b *testBackend) executions() (tasks, most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.ran {
+		most = max(most, n)
+	}
+	return len(b.ran), most
+}
+
+// testEntry accepts connections of agents and collects what they send.
+type testEntry struct {
+	t           *testing.T
+	incarnation uint64
+	listener    *transport.Listener
+	conns       chan *transport.Conn
+	hellos      chan *wire.Hello
+	messages    chan wire.Message
+	conn        *transport.Conn
+	agent       uint64
+}
+
+func newTestEntry(t *testing.T, dir string, incarnation uint64) *testEntry {
+	creds, err := transport.LoadCredentials(transport.DevFiles(dir, transport.RoleEntry))
+	qt.Assert(t, err, qt.IsNil)
+	l, err := transport.Listen("127.0.0.1:0", creds)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	e := &testEntry{
+		t: t, incarnation: incarnation, listener: l, conns: make(chan *transport.Conn, 10),
+		hellos: make(chan *wire.Hello, 10), messages: make(chan wire.Message, 10000),
+	}
+	go func() { _ = l.Serve(context.Background(), e.accept) }()
+	return e
+}
+
+func (e *testEntry) accept(p *transport.Pending) {
+	c, err := p.Accept(&wire.Welcome{Name: "e", Incarnation: e.incarnation})
+	if err != nil {
+		return
+	}
+	e.hellos <- p.Hello
+	e.conns <- c
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		e.messages <- m
+	}
+}
+
+// connected waits for the next connection of the agent.
+func (e *testEntry) connected() *wire.Hello {
+	e.t.Helper()
+	select {
+	case h := <-e.hellos:
+		e.conn, e.agent = <-e.conns, h.Incarnation
+		return h
+	case <-time.After(wait):
+		e.t.Fatal("the agent does not connect")
+		return nil
+	}
+}
+
+func (e *testEntry) start(k api.Key, task uint16, body string) {
+	e.send(&wire.Start{
+		Key: wire.Key(k), Task: task, Owner: e.incarnation, Agent: e.agent, Service: "cleft-assessor",
+		TaskType: "grain-count", TimeLeftMS: 20000, Body: []byte(body),
+	})
+}
+
+func (e *testEntry) send(m wire.Message) { qt.Assert(e.t, e.conn.Send(m), qt.IsNil) }
+
+// next returns the next message of type T and drops others.
+func next[T wire.Message](e *testEntry) T {
+	e.t.Helper()
+	m, ok := within[T](e, wait)
+	if !ok {
+		e.t.Fatalf("the agent does not send a %T", m)
+	}
+	return m
+}
+
+func within[T wire.Message](e *testEntry, d time.Duration) (T, bool) {
+	end := time.After(d)
+	for {
+		select {
+		case m := <-e.messages:
+			if m, ok := m.(T); ok {
+				return m, true
+			}
+		case <-end:
+			var none T
+			return none, false
+		}
+	}
+}
+
+// rig is an agent with an entry, a backend server and a platform.
+type rig struct {
+	t        *testing.T
+	dir      string
+	platform *memPlatform
+	backend  *testBackend
+	entry    *testEntry
+	agent    *Agent
+	settings *settings.Agent
+	stop     context.CancelFunc
+	ended    chan error
+	keys     uint64
+}
+
+// newRig makes a rig whose agent does not run yet.
+func newRig(t *testing.T) *rig {
+	dir := t.TempDir()
+	qt.Assert(t, transport.WriteDevCertificates(dir), qt.IsNil)
+	r := &rig{
+		t: t, dir: dir, platform: newMemPlatform(), backend: newTestBackend(t), entry: newTestEntry(t, dir, 101),
+		ended: make(chan error, 1),
+		settings: &settings.Agent{
+			Name: "w1", Zone: "salalah-kiln", AnnounceAddress: "127.0.0.1:0", Slots: 2, LongSlots: 1, Hold: 2,
+			Connections: 8, HealthIntervalMS: 50, MaxLedgerRecords: 10000, MaxResultBytes: 1 << 20, DrainTimeoutMS: 10000,
+		},
+	}
+	r.setRoster(r.entry)
+	return r
+}
+
+func (r *rig) setRoster(entries ...*testEntry) *ownership.Roster {
+	roster := &ownership.Roster{}
+	for i, e := range entries {
+		roster.Members = append(roster.Members, ownership.Member{
+			Name: "e" + string(rune('1'+i)), Incarnation: e.incarnation, PeerAddr: e.listener.Addr(),
+		})
+	}
+	roster.Version = r.platform.put(platform.RowRoster, roster)
+	return roster
+}
+
+func (r *rig) run() {
+	r.t.Helper()
+	creds, err := transport.LoadCredentials(transport.DevFiles(r.dir, transport.RoleAgent))
+	qt.Assert(r.t, err, qt.IsNil)
+	a, err := New(Options{
+		Settings: r.settings, Credentials: creds, Platform: r.platform,
+		Log: telemetry.NewLog("agent", settings.Logging{Level: "warning", Format: "text"}, r.t.Output()),
+	})
+	qt.Assert(r.t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.agent, r.stop = a, cancel
+	done := make(chan struct{})
+	go func() { r.ended <- a.Run(ctx); close(done) }()
+	r.t.Cleanup(func() { cancel(); a.Abort(); <-done })
+}
+
+// ready runs the agent and waits until the entry may send tasks.
+func (r *rig) ready() {
+	r.t.Helper()
+	r.run()
+	r.entry.connected()
+	r.announce()
+}
+
+func (r *rig) announce() {
+	r.t.Helper()
+	r.post("/announce", `{"name":"b1","address":"`+strings.TrimPrefix(r.backend.URL, "http://")+`","services":["cleft-assessor"]}`)
+	for next[*wire.LoadReport](r.entry).Load.Leaving {
+	}
+}
+
+func (r *rig) post(path, body string) string {
+	r.t.Helper()
+	res, err := http.Post("http://"+r.agent.AnnounceAddr()+path, "application/json", bytes.NewBufferString(body))
+	qt.Assert(r.t, err, qt.IsNil)
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	qt.Assert(r.t, res.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", b))
+	return string(b)
+}
+
+func (r *rig) key() api.Key {
+	r.keys++
+	return api.NewKeyAt(time.Now(), r.keys)
+}
--- /dev/null
+++ b/agent/registration.go
@@ -0,0 +1,159 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/platform"
+)
+
+const (
+	// rosterInterval is the time between reads of the roster, plus or minus
+	// rosterJitter. Entries push changes; the reads cover a lost push.
+	rosterInterval = 30 * time.Second
+	rosterJitter   = 6 * time.Second
+	// searchInterval replaces rosterInterval while no entry is connected.
+	searchInterval = 3 * time.Second
+	searchJitter   = time.Second
+	// platformTimeout bounds a request to the platform.
+	platformTimeout = 5 * time.Second
+	// Backoff of requests to a platform that does not answer.
+	platformBackoffMin = 200 * time.Millisecond
+	platformBackoffMax = 10 * time.Second
+)
+
+// follow registers the agent and then follows the roster until ctx ends. The
+// order matters: an entry that changed the roster before this agent read it
+// finds the registration and sends a Fence.
+func (a *Agent) follow(ctx context.Context) error {
+	if !a.retry(ctx, "register", a.register) {
+		return nil
+	}
+	a.registered.Store(true)
+	a.log.Info("registered")
+	for a.retry(ctx, "read the roster", a.readRoster) {
+		wait := rosterInterval - rosterJitter + rand.N(2*rosterJitter)
+		if a.links.Load() == 0 {
+			wait = searchInterval - searchJitter + rand.N(2*searchJitter)
+		}
+		sleep(ctx, wait)
+		a.checkRegistration(ctx)
+	}
+	return nil
+}
+
+// retry repeats f with backoff until it succeeds. It returns false when ctx
+// ends.
+func (a *Agent) retry(ctx context.Context, what string, f func(context.Context) error) bool {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = platformBackoffMin, platformBackoffMax
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, platformTimeout)
+		err := f(attempt)
+		cancel()
+		if err == nil {
+			return true
+		}
+		a.log.WithError(err).Warnf("cannot %s, trying again", what)
+		sleep(ctx, b.NextBackOff())
+	}
+	return false
+}
+
+func (a *Agent) registrationKey() string { return platform.PrefixAgents + a.settings.Name }
+
+// readRegistration returns the row of this worker; version 0 means that there
+// is none. A row that cannot be parsed counts as one of another incarnation.
+func (a *Agent) readRegistration(ctx context.Context) (version uint64, r ownership.Registration, err error) {
+	row, err := a.options.Platform.Get(ctx, a.registrationKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, r, nil
+	}
+	if err != nil {
+		return 0, r, err
+	}
+	if json.Unmarshal(row.Value, &r) != nil {
+		r = ownership.Registration{}
+	}
+	return row.Version, r, nil
+}
+
+// register makes one attempt. Each attempt reads the row first, so that a write
+// whose reply was lost is found by its incarnation.
+func (a *Agent) register(ctx context.Context) error {
+	version, old, err := a.readRegistration(ctx)
+	if err != nil {
+		return err
+	}
+	if version > 0 && old.Incarnation == a.incarnation {
+		return nil
+	}
+	r := ownership.Registration{
+		Worker: a.settings.Name, Incarnation: a.incarnation, Addr: a.AnnounceAddr(), Zone: a.settings.Zone,
+	}
+	if version > 0 {
+		r.ReplacedAt = time.Now().UTC()
+	}
+	return a.writeRegistration(ctx, version, r)
+}
+
+func (a *Agent) writeRegistration(ctx context.Context, version uint64, r ownership.Registration) error {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode registration")
+	}
+	_, err = a.options.Platform.CompareAndSet(ctx, a.registrationKey(), version, b)
+	return errors.Wrap(err, "write registration")
+}
+
+// checkRegistration notices that another process has registered for the same
+// worker. Entries fence only the registered incarnation, so this one must not
+// run anything more.
+func (a *Agent) checkRegistration(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	version, r, err := a.readRegistration(ctx)
+	if err == nil && version > 0 && r.Incarnation != a.incarnation {
+		a.log.WithField("other", r.Incarnation).Error("another agent has registered for this worker; taking no more tasks")
+		a.post(replaced{})
+	}
+}
+
+// markLeft sets LeftAt in the row of this incarnation.
+func (a *Agent) markLeft(ctx context.Context) error {
+	done := a.retry(ctx, "mark the registration as left", func(ctx context.Context) error {
+		version, r, err := a.readRegistration(ctx)
+		if err != nil || version == 0 || r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
+			return err
+		}
+		r.LeftAt = time.Now().UTC()
+		return a.writeRegistration(ctx, version, r)
+	})
+	if !done {
+		return errors.New("drained, but the registration could not be marked as left")
+	}
+	return nil
+}
+
+func (a *Agent) readRoster(ctx context.Context) error {
+	row, err := a.options.Platform.Get(ctx, platform.RowRoster)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	r := &ownership.Roster{}
+	if err := json.Unmarshal(row.Value, r); err != nil {
+		return errors.Wrap(err, "parse the roster")
+	}
+	r.Version = row.Version
+	a.post(rosterRead{r})
+	return nil
+}
