Take Report and Done of one message in either order

Cause: the entry reports the load of a Result before it ends the start, so that the ended task counted as running and hid a task of another entry. Change: Done at the time of the last report takes that report again. Ruled out: asking for one order only; both orders are natural for the caller. Conclusion: the estimate does not depend on the order of the calls.

--- a/placement/agent.go
+++ b/placement/agent.go
@@ -19,6 +19,7 @@
 	up           bool
 	downAt       time.Time
 
+	load    wire.Load
 	slots   int
 	leaving bool
 	// own and ownLong are the exact counts of this entry's tasks in flight.
@@ -73,7 +74,7 @@
 // arrived when the report was sent belongs to others.
 func (g *agent) report(l wire.Load, transit time.Duration, now time.Time) {
 	all, long := g.recent.since(now.Add(-transit))
-	g.slots, g.leaving = int(l.Slots), l.Leaving
+	g.load, g.slots, g.leaving = l, int(l.Slots), l.Leaving
 	g.others = max(float64(int(l.Running)+int(l.Held)-max(g.own-all, 0)), 0)
 	g.othersLong = max(float64(int(l.RunningLong)-max(g.ownLong-long, 0)), 0)
 	g.reportAt = now
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -156,8 +156,8 @@
 }
 
 // Report takes the load that came with a message. Services nil means that they
-// are unchanged. For a Result, Done is called first, since the load of the
-// message does not count the task that ended.
+// are unchanged. For a Result, Done is called with the same time, before or
+// after, since the load does not count the task that ended.
 func (s *State) Report(id uint64, l wire.Load, services []string, now time.Time) {
 	s.now = now
 	g := s.agents[id]
@@ -225,6 +225,10 @@
 	g := s.agents[id]
 	if g != nil {
 		g.end(d.Class)
+		if g.reportAt.Equal(now) {
+			// The load of the same message does not count the task any more.
+			g.report(g.load, s.o.Transit, now)
+		}
 	}
 	switch d.Outcome {
 	case wire.OutcomeOK:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -118,6 +118,23 @@
 	qt.Assert(t, s.Agents(t0.Add(10 * time.Millisecond))[0].Own, qt.Equals, 5)
 }
 
+// Guards against a dependence on the order of Report and Done for one message.
+func TestReportAndDoneOfOneMessage(t *testing.T) {
+	for _, doneFirst := range []bool{true, false} {
+		s := fleet(1, Options{})
+		picks(s, 3, wire.ClassShort, t0)
+		now := t0.Add(time.Second)
+		if doneFirst {
+			s.Done(1, ok(wire.ClassShort, "t", time.Second), now)
+		}
+		s.Report(1, wire.Load{Slots: 8, Running: 6}, nil, now)
+		if !doneFirst {
+			s.Done(1, ok(wire.ClassShort, "t", time.Second), now)
+		}
+		qt.Assert(t, s.Supply("s").Others, qt.Equals, 4, qt.Commentf("done first: %v", doneFirst))
+	}
+}
+
 // Guards against an estimate that never forgets what other entries ran.
 func TestReportDecays(t *testing.T) {
 	s := fleet(1, Options{})
