--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -10,10 +10,6 @@
 	"github.com/sesamelift/sesamelift/api"
 )
 
-// otherLabel stands for services and teams that are not in the configuration,
-// so that callers cannot create labels.
-const otherLabel = "other"
-
 // Buckets follow the run times of tasks, 50 ms to several seconds.
 var timeBuckets = tally.DurationBuckets{
 	time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
@@ -59,7 +55,8 @@
 	}
 }
 
-// of returns the metrics of a service and team of the configuration.
+// of returns the metrics of a service and team of the configuration. Jobs with
+// other names are refused, so that callers cannot create labels.
 func (m *metrics) of(service, team string) *typeMetrics {
 	k := [2]string{service, team}
 	t := m.byType[k]
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -49,6 +49,7 @@
 		r.send(reply{again: true, version: c.rosterVersion()})
 		return
 	}
+	c.limitIdempotent(r)
 	inherited := len(d.Started) > 0 || d.Unknown
 	if d.Closed {
 		c.refuse(r, api.Refuse(api.ReasonOwnerChange, "an earlier owner of the key has refused the job"), inherited, now)
@@ -92,6 +93,16 @@
 	return c.admission.Admit(now, q, supply), class
 }
 
+// limitIdempotent leaves a job marked as idempotent only if its request type is
+// idempotent by configuration.
+func (c *core) limitIdempotent(r *request) {
+	if r.sub.Idempotent && !c.types[r.sub.Service][r.sub.Type].Idempotent {
+		s := *r.sub
+		s.Idempotent = false
+		r.sub = &s
+	}
+}
+
 func (c *core) checkType(s *api.Submission) *api.Verdict {
 	if c.config.Version == 0 {
 		return api.Refuse(api.ReasonUnknownService, fmt.Sprintf("service %q is unknown: no configuration has been accepted yet", s.Service))
