Use the real ledger and ownership; test slots and the backend interface

Cause: the agent ran on placeholders, and the fault cases of a call to the backend server were not tested.

Change: agent/interim is gone. Refusals of the ledger become short words, and a start that has a record is never answered "not run". A settle of the whole job closes the key in the ledger. Registration goes through platform.Update. An agent whose row names another incarnation, is marked as left or is gone takes no more tasks, since entries fence registered incarnations only.

Ruled out: registering again when the row is gone; a fence that completed in between would have passed this agent over.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,12 @@
 	abort chan struct{}
 	once  sync.Once
 
+	// joining ends the registration, joinEnded is closed after it.
+	joining    context.Context
+	cancelJoin context.CancelFunc
+	joinEnded  chan struct{}
+	// attempted is set when a registration may have been written.
+	attempted  atomic.Bool
 	registered atomic.Bool
 	running    atomic.Int64
 	links      atomic.Int64
@@ -110,6 +116,8 @@
 	}
 	a.log = o.Log.WithFields(logrus.Fields{"worker": o.Settings.Name, "incarnation": a.incarnation})
 	a.ctx, a.stop = context.WithCancel(context.Background())
+	a.joining, a.cancelJoin = context.WithCancel(a.ctx)
+	a.joinEnded = make(chan struct{})
 	a.backend = backend.New(backend.Options{
 		Connections:    o.Settings.Connections,
 		HealthInterval: o.Settings.HealthInterval(),
@@ -172,11 +180,15 @@
 		return errors.New("stopped without a drain")
 	case <-ctx.Done():
 	}
-	if !a.registered.Load() {
-		return nil
+	a.cancelJoin()
+	<-a.joinEnded
+	if a.registered.Load() {
+		if err := a.drain(); err != nil {
+			return err
+		}
 	}
-	if err := a.drain(); err != nil {
-		return err
+	if !a.attempted.Load() {
+		return nil
 	}
 	return a.leave()
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/wire"
 )
--- a/agent/core.go
+++ b/agent/core.go
@@ -8,10 +8,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ledger"
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/backend"
+	"github.com/sesamelift/sesamelift/ledger"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/slots"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -31,7 +31,7 @@
 const (
 	reasonLeaving  = "leaving"
 	reasonDeadline = "deadline"
-	reasonExpired  = "expired"
+	reasonClosed   = "closed"
 	reasonStarting = "starting"
 )
 
--- a/agent/events.go
+++ b/agent/events.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
 	"github.com/sesamelift/sesamelift/backend"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/wire"
 )
 
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -14,8 +14,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/telemetry"
--- a/agent/links.go
+++ b/agent/links.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
--- a/agent/registration.go
+++ b/agent/registration.go
@@ -9,7 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
 )
 
@@ -32,10 +32,12 @@
 // order matters: an entry that changed the roster before this agent read it
 // finds the registration and sends a Fence.
 func (a *Agent) follow(ctx context.Context) error {
-	if !a.retry(ctx, "register", a.register) {
+	a.registered.Store(a.retry(a.joining, "register", a.register))
+	close(a.joinEnded)
+	if !a.registered.Load() {
+		<-ctx.Done()
 		return nil
 	}
-	a.registered.Store(true)
 	a.log.Info("registered")
 	for a.retry(ctx, "read the roster", a.readRoster) {
 		wait := rosterInterval - rosterJitter + rand.N(2*rosterJitter)
@@ -68,59 +70,47 @@
 
 func (a *Agent) registrationKey() string { return platform.PrefixAgents + a.settings.Name }
 
-// readRegistration returns the row of this worker; version 0 means that there
-// is none. A row that cannot be parsed counts as one of another incarnation.
-func (a *Agent) readRegistration(ctx context.Context) (version uint64, r ownership.Registration, err error) {
-	row, err := a.options.Platform.Get(ctx, a.registrationKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		return 0, r, nil
-	}
-	if err != nil {
-		return 0, r, err
-	}
-	if json.Unmarshal(row.Value, &r) != nil {
-		r = ownership.Registration{}
-	}
-	return row.Version, r, nil
+// parseRegistration returns the registration in a row. A row that cannot be
+// parsed counts as one of another incarnation.
+func parseRegistration(value []byte) ownership.Registration {
+	var r ownership.Registration
+	if json.Unmarshal(value, &r) != nil {
+		return ownership.Registration{}
+	}
+	return r
 }
 
-// register makes one attempt. Each attempt reads the row first, so that a write
-// whose reply was lost is found by its incarnation.
+// register makes one attempt. It reads the row first, so that a write whose
+// reply was lost in an earlier attempt is found by its incarnation.
 func (a *Agent) register(ctx context.Context) error {
-	version, old, err := a.readRegistration(ctx)
-	if err != nil {
-		return err
-	}
-	if version > 0 && old.Incarnation == a.incarnation {
-		return nil
-	}
-	r := ownership.Registration{
-		Worker: a.settings.Name, Incarnation: a.incarnation, Addr: a.AnnounceAddr(), Zone: a.settings.Zone,
-	}
-	if version > 0 {
-		r.ReplacedAt = time.Now().UTC()
-	}
-	return a.writeRegistration(ctx, version, r)
-}
-
-func (a *Agent) writeRegistration(ctx context.Context, version uint64, r ownership.Registration) error {
-	b, err := json.Marshal(r)
-	if err != nil {
-		return errors.Wrap(err, "encode registration")
-	}
-	_, err = a.options.Platform.CompareAndSet(ctx, a.registrationKey(), version, b)
-	return errors.Wrap(err, "write registration")
+	_, err := platform.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
+		if parseRegistration(old).Incarnation == a.incarnation {
+			return nil, platform.ErrUnchanged
+		}
+		a.attempted.Store(true)
+		r := ownership.Registration{
+			Worker: a.settings.Name, Incarnation: a.incarnation, Addr: a.AnnounceAddr(), Zone: a.settings.Zone,
+		}
+		if old != nil {
+			r.ReplacedAt = time.Now().UTC()
+		}
+		return json.Marshal(r)
+	})
+	return err
 }
 
 // checkRegistration notices that another process has registered for the same
-// worker. Entries fence only the registered incarnation, so this one must not
-// run anything more.
+// worker, or that an operator has retired it. Entries fence only registered
+// incarnations, so this one must not run anything more.
 func (a *Agent) checkRegistration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	version, r, err := a.readRegistration(ctx)
-	if err == nil && version > 0 && r.Incarnation != a.incarnation {
-		a.log.WithField("other", r.Incarnation).Error("another agent has registered for this worker; taking no more tasks")
+	row, err := a.options.Platform.Get(ctx, a.registrationKey())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	if r := parseRegistration(row.Value); r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
+		a.log.WithField("registered", r.Incarnation).Error("this agent is not registered any more; it takes no tasks until it is restarted")
 		a.post(replaced{})
 	}
 }
@@ -128,12 +118,15 @@
 // markLeft sets LeftAt in the row of this incarnation.
 func (a *Agent) markLeft(ctx context.Context) error {
 	done := a.retry(ctx, "mark the registration as left", func(ctx context.Context) error {
-		version, r, err := a.readRegistration(ctx)
-		if err != nil || version == 0 || r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
-			return err
-		}
-		r.LeftAt = time.Now().UTC()
-		return a.writeRegistration(ctx, version, r)
+		_, err := platform.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
+			r := parseRegistration(old)
+			if r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
+				return nil, platform.ErrUnchanged
+			}
+			r.LeftAt = time.Now().UTC()
+			return json.Marshal(r)
+		})
+		return err
 	})
 	if !done {
 		return errors.New("drained, but the registration could not be marked as left")
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -7,8 +7,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ledger"
 	"github.com/sesamelift/sesamelift/backend"
+	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/slots"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/wire"
@@ -208,7 +208,9 @@
 func (c *core) answerKnown(l *link, s *wire.Start, d ledger.Decision) {
 	switch {
 	case d.Refusal != "":
-		c.refuse(l, s, d.Refusal)
+		c.refuseWith(l, s, shortRefusal(d.Refusal), ranOf(d))
+	case d.State == wire.StateClosed:
+		c.refuse(l, s, reasonClosed)
 	case d.Result != nil:
 		m := *d.Result
 		m.Load = c.load()
@@ -221,14 +223,39 @@
 	}
 }
 
-// refuse answers a start that has not run and will not. Of an expired key the
-// agent may have lost the record.
-func (c *core) refuse(l *link, s *wire.Start, reason string) {
-	c.a.metrics.refused(reason)
-	ran := wire.RanNo
-	if reason == reasonExpired {
-		ran = wire.RanMaybe
+// shortRefusal returns the words for a refusal by the ledger.
+func shortRefusal(r string) string {
+	switch r {
+	case ledger.RefusedExpired:
+		return "expired"
+	case ledger.RefusedAgent:
+		return "other incarnation"
+	case ledger.RefusedOwner:
+		return "not in roster"
+	case ledger.RefusedDigest:
+		return "other digest"
+	case ledger.RefusedFull:
+		return "ledger full"
+	case ledger.RefusedClosed:
+		return reasonClosed
+	}
+	return r
+}
+
+// ranOf says whether a refused task may have run. Of an expired key the record
+// may be lost.
+func ranOf(d ledger.Decision) wire.Ran {
+	if d.Refusal == ledger.RefusedExpired || d.State > wire.StateClosed {
+		return wire.RanMaybe
 	}
+	return wire.RanNo
+}
+
+// refuse answers a start that has not run and will not.
+func (c *core) refuse(l *link, s *wire.Start, reason string) { c.refuseWith(l, s, reason, wire.RanNo) }
+
+func (c *core) refuseWith(l *link, s *wire.Start, reason string, ran wire.Ran) {
+	c.a.metrics.refused(reason)
 	c.send(l, &wire.Result{
 		Key: s.Key, Task: s.Task, Outcome: wire.OutcomeRefused, Ran: ran, Reason: reason, Load: c.load(),
 	})
@@ -251,7 +278,7 @@
 		}
 		c.expectFrom(l)
 	}
-	s := c.ledger.Settle(time.Now(), m.Key, m.Task)
+	s := c.settled(m)
 	s.Load = c.load()
 	s.Result.Load = s.Load
 	if c.send(l, &s) {
@@ -259,6 +286,13 @@
 	}
 }
 
+func (c *core) settled(m *wire.Settle) wire.Settled {
+	if m.Task == ledger.WholeJob {
+		return c.ledger.Close(time.Now(), m.Owner, m.Key)
+	}
+	return c.ledger.Settle(time.Now(), m.Key, m.Task)
+}
+
 // refuseHeld refuses all held starts, so that they run elsewhere.
 func (c *core) refuseHeld() {
 	reason := reasonLeaving
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -236,7 +236,12 @@
 	if same && s.state.Name == name && slices.Equal(s.state.Services, services) {
 		return
 	}
+	repeated := s.state.Address == address && s.state.Status == Starting
 	s.state.Name, s.state.Address, s.state.Services = name, address, services
+	if repeated {
+		// The next check is due at the next interval.
+		return
+	}
 	if same {
 		s.setStatus(Up)
 		return
--- a/backend/http.go
+++ b/backend/http.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -45,7 +46,8 @@
 
 func (s *Server) handleAnnounce(c echo.Context) error {
 	var a Announcement
-	if err := (&echo.DefaultBinder{}).BindBody(c, &a); err != nil {
+	// The content type is not looked at, so that a plain curl works.
+	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
 		return c.JSON(http.StatusBadRequest, Reply{Error: "the announcement is not JSON with name, address and services"})
 	}
 	if msg := a.fault(); msg != "" {
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,123 @@
+package slots
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+const (
+	short = wire.ClassShort
+	long  = wire.ClassLong
+)
+
+type offer struct {
+	item  int
+	class wire.Class
+	want  Decision
+}
+
+// Guards against a start that runs beyond the slots or the share of long tasks,
+// and against long tasks ahead of short ones in the hold queue.
+func TestOfferAndNext(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		options Options
+		offers  []offer
+		done    []wire.Class
+		next    []int
+		load    wire.Load
+	}{
+		{"fills the slots, then holds, then busy", Options{2, 1, 1},
+			[]offer{{1, short, Run}, {2, short, Run}, {3, short, Held}, {4, short, Busy}},
+			nil, nil, wire.Load{Slots: 2, Running: 2, Held: 1}},
+		{"no hold queue", Options{1, 1, 0},
+			[]offer{{1, short, Run}, {2, short, Busy}},
+			nil, nil, wire.Load{Slots: 1, Running: 1}},
+		{"long tasks keep to their share", Options{3, 1, 4},
+			[]offer{{1, long, Run}, {2, long, Busy}, {3, short, Run}},
+			nil, nil, wire.Load{Slots: 3, Running: 2, RunningLong: 1}},
+		{"share above the slots", Options{1, 5, 1},
+			[]offer{{1, long, Run}, {2, long, Busy}},
+			nil, nil, wire.Load{Slots: 1, Running: 1, RunningLong: 1}},
+		{"short first, each class by arrival", Options{2, 2, 4},
+			[]offer{{1, short, Run}, {2, short, Run}, {3, long, Held}, {4, short, Held}, {5, long, Held}, {6, short, Held}},
+			[]wire.Class{short, short}, []int{4, 6}, wire.Load{Slots: 2, Running: 2, Held: 2}},
+		{"a held long task waits for the share", Options{2, 1, 4},
+			[]offer{{1, short, Run}, {2, short, Run}, {3, long, Held}, {4, long, Held}},
+			[]wire.Class{short, short}, []int{3}, wire.Load{Slots: 2, Running: 1, RunningLong: 1, Held: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := New[int](tc.options)
+			for _, o := range tc.offers {
+				qt.Assert(t, s.Offer(o.item, o.class), qt.Equals, o.want, qt.Commentf("item %d", o.item))
+			}
+			for _, c := range tc.done {
+				s.Done(c)
+			}
+			var next []int
+			for {
+				i, ok := s.Next()
+				if !ok {
+					break
+				}
+				next = append(next, i)
+			}
+			qt.Assert(t, next, qt.DeepEquals, tc.next)
+			qt.Assert(t, s.Load(), qt.Equals, tc.load)
+		})
+	}
+}
+
+// Guards against a held start that runs after it was withdrawn.
+func TestWithdrawAndClear(t *testing.T) {
+	s := New[int](Options{1, 1, 3})
+	for i := range 4 {
+		s.Offer(i, short)
+	}
+	qt.Assert(t, s.Withdraw(2), qt.IsTrue)
+	qt.Assert(t, s.Withdraw(2), qt.IsFalse)
+	qt.Assert(t, s.Withdraw(0), qt.IsFalse, qt.Commentf("it runs"))
+	qt.Assert(t, s.Clear(), qt.DeepEquals, []int{1, 3})
+	s.Done(short)
+	_, ok := s.Next()
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, s.Idle(), qt.IsTrue)
+}
+
+// Guards against a count that drifts, over random sequences: a start is lost or
+// the limits are exceeded.
+func TestLimitsHoldForAnySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{rapid.IntRange(1, 6).Draw(t, "slots"), rapid.IntRange(1, 6).Draw(t, "long"), rapid.IntRange(0, 4).Draw(t, "hold")}
+		s := New[int](o)
+		var running []wire.Class
+		class := map[int]wire.Class{}
+		kept := 0
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(running) > 0 && rapid.Bool().Draw(t, "done") {
+				s.Done(running[0])
+				running, kept = running[1:], kept-1
+				for n, ok := s.Next(); ok; n, ok = s.Next() {
+					running = append(running, class[n])
+				}
+			} else {
+				class[i] = wire.Class(rapid.IntRange(0, 1).Draw(t, "class"))
+				switch s.Offer(i, class[i]) {
+				case Run:
+					running, kept = append(running, class[i]), kept+1
+				case Held:
+					kept++
+				}
+			}
+			l := s.Load()
+			if int(l.Running) != len(running) || int(l.Running) > o.Slots || int(l.RunningLong) > o.LongSlots ||
+				int(l.Held) > o.Hold || int(l.Running+l.Held) != kept {
+				t.Fatalf("load %+v with %d running, %d kept, options %+v", l, len(running), kept, o)
+			}
+		}
+	})
+}
