Test the agent's faults over QUIC; wait for connection loops at the end

Cause: only the plain path of the agent was tested.

Run now waits for the loops of its connections.

Ruled out: keeping the watch for silence on while nothing is in progress; it would cost a probe per second on each idle connection.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -91,6 +91,8 @@
 	registered atomic.Bool
 	running    atomic.Int64
 	links      atomic.Int64
+	// dials are the loops of the connections.
+	dials sync.WaitGroup
 	// unready says why the agent takes no tasks, or is empty.
 	unready atomic.Pointer[string]
 }
@@ -162,6 +164,7 @@
 		func(error) { _ = server.Close() })
 	a.add(&g, func(context.Context) error { return a.drainAfter(ctx) })
 	err := g.Run()
+	a.dials.Wait()
 	a.log.WithError(err).Info("agent ended")
 	return err
 }
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -319,3 +320,91 @@
 	r.keys++
 	return api.NewKeyAt(time.Now(), r.keys)
 }
+
+// waitForExecutions waits until n tasks have reached the backend server.
+func (r *rig) waitForExecutions(n int) {
+	r.t.Helper()
+	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		if tasks, _ := r.backend.executions(); tasks >= n {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("fewer than %d tasks reached the backend server", n)
+		}
+	}
+}
+
+// relay forwards UDP packets to a server. dropCurrent drops the packets of the
+// clients seen so far, in both directions; new clients get through.
+type relay struct {
+	t      *testing.T
+	server *net.UDPAddr
+	front  *net.UDPConn
+	mu     sync.Mutex
+	backs  map[string]*net.UDPConn
+	cut    map[string]bool
+}
+
+func newRelay(t *testing.T, server string) *relay {
+	sa, err := net.ResolveUDPAddr("udp", server)
+	qt.Assert(t, err, qt.IsNil)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = front.Close() })
+	r := &relay{t: t, server: sa, front: front, backs: map[string]*net.UDPConn{}, cut: map[string]bool{}}
+	go r.forward()
+	return r
+}
+
+func (r *relay) addr() string { return r.front.LocalAddr().String() }
+
+func (r *relay) dropCurrent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for client := range r.backs {
+		r.cut[client] = true
+	}
+}
+
+func (r *relay) back(client *net.UDPAddr) (*net.UDPConn, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := client.String()
+	b := r.backs[name]
+	if b == nil {
+		var err error
+		if b, err = net.DialUDP("udp", nil, r.server); err != nil {
+			return nil, true
+		}
+		r.backs[name] = b
+		r.t.Cleanup(func() { _ = b.Close() })
+		go r.backward(client, b)
+	}
+	return b, r.cut[name]
+}
+
+func (r *relay) forward() {
+	b := make([]byte, 65536)
+	for {
+		n, client, err := r.front.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+		if back, cut := r.back(client); !cut {
+			_, _ = back.Write(b[:n])
+		}
+	}
+}
+
+func (r *relay) backward(client *net.UDPAddr, back *net.UDPConn) {
+	b := make([]byte, 65536)
+	for {
+		n, err := back.Read(b)
+		if err != nil {
+			return
+		}
+		if _, cut := r.back(client); !cut {
+			_, _ = r.front.WriteToUDP(b[:n], client)
+		}
+	}
+}
--- a/agent/links.go
+++ b/agent/links.go
@@ -61,7 +61,7 @@
 		if c.dials[e] == nil {
 			ctx, cancel := context.WithCancel(c.a.ctx)
 			c.dials[e] = cancel
-			go c.a.keepLink(ctx, e)
+			c.a.dials.Go(func() { c.a.keepLink(ctx, e) })
 		}
 	}
 }
