--- /dev/null
+++ b/sheet/plan.go
@@ -0,0 +1,78 @@
+package sheet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/sesamelift/sesamelift/config"
+)
+
+// Difference is what a new configuration would change.
+type Difference struct {
+	Changes []config.Change `json:"changes"`
+	// Warnings are about the new configuration; they do not stop it.
+	Warnings []string `json:"warnings"`
+}
+
+// Plan returns what would change from old to new. old may be nil.
+func Plan(old, new *config.Config) Difference {
+	d := Difference{Changes: config.Diff(old, new), Warnings: []string{}}
+	if d.Changes == nil {
+		d.Changes = []config.Change{}
+	}
+	for _, s := range new.Services {
+		active := slices.ContainsFunc(new.Workers, func(w config.Worker) bool {
+			return !w.Drain && slices.Contains(w.Services, s.Name)
+		})
+		if !active {
+			d.Warnings = append(d.Warnings, fmt.Sprintf("service %s has no worker that takes new tasks; its jobs will be refused", s.Name))
+		}
+	}
+	return d
+}
+
+// Restrictions returns the number of changes that can turn requests away.
+func (d Difference) Restrictions() int {
+	n := 0
+	for _, c := range d.Changes {
+		if c.Restricts() {
+			n++
+		}
+	}
+	return n
+}
+
+// String returns the plan as text, a line for each change. Lines that begin
+// with an exclamation mark can turn requests away that were accepted before.
+func (d Difference) String() string {
+	var b strings.Builder
+	for _, c := range d.Changes {
+		mark := " "
+		if c.Restricts() {
+			mark = "!"
+		}
+		fmt.Fprintf(&b, "%s %-8s %s %s", mark, c.Effect, c.Kind, c.Name)
+		switch {
+		case c.Effect == config.Added:
+			fmt.Fprintf(&b, " (%s)", c.New)
+		case c.Effect == config.Removed:
+			fmt.Fprintf(&b, " (%s)", c.Old)
+		default:
+			fmt.Fprintf(&b, ": %s %s -> %s", c.Field, c.Old, c.New)
+		}
+		b.WriteByte('\n')
+	}
+	for _, w := range d.Warnings {
+		fmt.Fprintf(&b, "warning: %s\n", w)
+	}
+	switch n := d.Restrictions(); {
+	case len(d.Changes) == 0:
+		b.WriteString("nothing would change\n")
+	case n > 0:
+		fmt.Fprintf(&b, "%d changes, %d marked ! can turn requests away that are accepted now\n", len(d.Changes), n)
+	default:
+		fmt.Fprintf(&b, "%d changes\n", len(d.Changes))
+	}
+	return b.String()
+}
