--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,6 +55,11 @@
 	if len(args) > 0 && args[0] == "help" {
 		return help(e, root, args[1:])
 	}
+	for _, x := range externals() {
+		if len(args) > 0 && args[0] == x.name {
+			return x.run(args[1:], out, errOut)
+		}
+	}
 	if err := root.Parse(args); err != nil {
 		return e.exit(usageError{err})
 	}
@@ -90,9 +95,11 @@
 	}
 	root.Subcommands = []*ffcli.Command{
 		submitCommand(e), jobCommand(e, "status"), jobCommand(e, "cancel"), workersCommand(e),
-		certsCommand(e), settingsCommand(e), versionCommand(e),
+		drainCommand(e), demoCommand(e), certsCommand(e), settingsCommand(e), versionCommand(e),
+	}
+	for _, x := range externals() {
+		root.Subcommands = append(root.Subcommands, x.command(e))
 	}
-	root.Subcommands = append(root.Subcommands, externalCommands(e)...)
 	for _, c := range root.Subcommands {
 		c.FlagSet.SetOutput(e.err)
 	}
--- /dev/null
+++ b/cli/operate.go
@@ -0,0 +1,174 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/client"
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/sheet"
+)
+
+const defaultPlatform = "127.0.0.1:7300"
+
+func (e *env) printStatus(ctx context.Context, c *client.Client, asJSON bool) error {
+	b, err := c.Fetch(ctx, "/v1/status")
+	if err != nil {
+		return err
+	}
+	var s ingress.Status
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errors.Wrap(err, "decode status")
+	}
+	if asJSON {
+		return e.printJSON(s)
+	}
+	fmt.Fprintf(e.out, "entry %s in %s, ready: %v\n", s.Entry, s.Zone, s.Ready)
+	fmt.Fprintf(e.out, "configuration version %d, roster version %d, platform reachable: %v\n", s.ConfigVersion, s.RosterVersion, s.PlatformReachable)
+	fmt.Fprintf(e.out, "%d workers, %d jobs, %d tasks waiting\n", s.Workers, s.Jobs, s.QueuedTasks)
+	for _, q := range s.Queued {
+		fmt.Fprintf(e.out, "  waiting: %d tasks of team %s for %s\n", q.Tasks, q.Team, q.Service)
+	}
+	for _, w := range s.WhatToDo {
+		fmt.Fprintf(e.out, "what to do: %s\n", w)
+	}
+	return nil
+}
+
+func workersCommand(e *env) *ffcli.Command {
+	var conn connection
+	fs := flag.NewFlagSet("workers", flag.ContinueOnError)
+	conn.register(fs)
+	asJSON := fs.Bool("json", false, "print JSON")
+	retire := fs.String("retire", "", "confirm that the host of this worker is off for good")
+	addr := fs.String("platform", defaultPlatform, "address of the platform, for -retire")
+	return newCommand("workers", "workers [flags]", "list the connected workers, or retire one",
+		"With -retire, entries stop waiting for the ledger of a worker. Do this only when its host is\n"+
+			"off: a process that still runs there could start a task twice.\n\nExample:\n  sesamelift workers -token $OPERATOR_TOKEN",
+		fs, func(ctx context.Context, args []string) error {
+			switch {
+			case len(args) > 0:
+				return usageError{errors.New("workers takes no arguments")}
+			case *retire != "":
+				return retireWorker(ctx, e, platform.NewClient(*addr), *retire)
+			}
+			return listWorkers(ctx, e, conn.client(), *asJSON)
+		})
+}
+
+func listWorkers(ctx context.Context, e *env, c *client.Client, asJSON bool) error {
+	b, err := c.Fetch(ctx, "/v1/workers")
+	if err != nil {
+		return err
+	}
+	var workers []ingress.Worker
+	if err := json.Unmarshal(b, &workers); err != nil {
+		return errors.Wrap(err, "decode workers")
+	}
+	if asJSON {
+		return e.printJSON(workers)
+	}
+	t := tabwriter.NewWriter(e.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "WORKER\tZONE\tSLOTS\tRUNNING\tSTATE")
+	for _, w := range workers {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", w.Worker, w.Zone, w.Slots, w.Running, workerState(w))
+	}
+	return t.Flush()
+}
+
+func workerState(w ingress.Worker) string {
+	switch {
+	case w.Ejected:
+		return "ejected: " + w.Why
+	case w.Drained:
+		return "drained"
+	case w.Leaving:
+		return "leaving"
+	}
+	return "ok"
+}
+
+// retireWorker marks the registration of a worker as left.
+func retireWorker(ctx context.Context, e *env, p platform.Table, name string) error {
+	// Without an operation id the whole value decides about a lost reply, so the
+	// time is taken once.
+	now := time.Now()
+	_, err := platform.Update(ctx, p, platform.PrefixAgents+name, "", func(old []byte) ([]byte, error) {
+		if old == nil {
+			return nil, errors.Errorf("worker %q is not registered", name)
+		}
+		var r ownership.Registration
+		if err := json.Unmarshal(old, &r); err != nil {
+			return nil, errors.Wrapf(err, "registration of worker %q", name)
+		}
+		if !r.LeftAt.IsZero() {
+			return nil, platform.ErrUnchanged
+		}
+		r.LeftAt = now
+		return json.Marshal(r)
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "worker %s is retired\n", name)
+	return nil
+}
+
+func drainCommand(e *env) *ffcli.Command {
+	fs := flag.NewFlagSet("drain", flag.ContinueOnError)
+	addr := fs.String("platform", defaultPlatform, "address of the platform")
+	undo := fs.Bool("undo", false, "give the worker work again")
+	asJSON := fs.Bool("json", false, "print JSON")
+	return newCommand("drain", "drain [flags] WORKER", "give a worker no new work",
+		"Writes a new version of the configuration in which the worker is drained. The next sheet\n"+
+			"decides again, so mark the worker there too.\n\nExample:\n  sesamelift drain -platform 127.0.0.1:17300 cleft-03",
+		fs, func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError{errors.New("drain takes one worker")}
+			}
+			return drainWorker(ctx, e, platform.NewClient(*addr), args[0], !*undo, *asJSON)
+		})
+}
+
+func drainWorker(ctx context.Context, e *env, p platform.Platform, name string, drain, asJSON bool) error {
+	current, err := sheet.Current(ctx, p)
+	if err != nil {
+		return err
+	}
+	next := *current
+	next.Workers = append([]config.Worker{}, current.Workers...)
+	found := false
+	for i := range next.Workers {
+		if next.Workers[i].Name == name {
+			next.Workers[i].Drain, found = drain, true
+		}
+	}
+	if !found {
+		return errors.Errorf("worker %q is not in the configuration", name)
+	}
+	r, err := sheet.Apply(ctx, p, &next, uuid.NewString())
+	var conflict *sheet.ConflictError
+	if errors.As(err, &conflict) {
+		fmt.Fprintf(e.err, "sesamelift: %v\n", err)
+		return exitError(ExitConflict)
+	}
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return e.printJSON(r)
+	}
+	fmt.Fprintf(e.out, "worker %s: drain %v in configuration version %d\n", name, drain, r.Version)
+	return nil
+}
