--- a/api/job.go
+++ b/api/job.go
@@ -96,7 +96,8 @@
 
 // Answer is what a caller gets for a job.
 type Answer struct {
-	Key Key `json:"key"`
+	// Key is left out when the request named no valid key.
+	Key Key `json:"key,omitzero"`
 	// State is "running" until there is a verdict, then "done".
 	State   string  `json:"state"`
 	Verdict Outcome `json:"verdict,omitempty"`
