Test the entry over QUIC: busy, lost agents, silent connections, refusals

Change: tests with a fake agent; a key from the future is closed at an agent before its refusal says "not run" (found by the new test).

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,26 +1,288 @@
 package entry
 
 import (
-	"strconv"
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/jobs"
+	"github.com/sesamelift/sesamelift/wire"
 )
 
 // Guards against an answer that is not whole or not in task order.
 func TestWholeJob(t *testing.T) {
 	c := newCluster(t)
 	n := c.start("e1")
-	c.agent("w1", 11, ok).connect(n, "")
-	code, a := n.submit(newKey(t), job(40))
-	qt.Assert(t, code, qt.Equals, 200, qt.Commentf("%+v", a))
-	qt.Assert(t, a.Verdict, qt.Equals, api.Complete)
-	qt.Assert(t, a.TraceID, qt.Not(qt.Equals), "")
-	qt.Assert(t, a.Results, qt.HasLen, 40)
-	for i, r := range a.Results {
-		qt.Assert(t, string(r), qt.Equals, `{"echo":{"n":`+itoa(i)+`},"task":`+itoa(i)+`}`)
+	a := c.agent("w1", 11, ok)
+	a.connect(n, "")
+	code, ans := n.submit(newKey(t), job(40))
+	qt.Assert(t, code, qt.Equals, 200, qt.Commentf("%+v", ans))
+	qt.Assert(t, ans.Verdict, qt.Equals, api.Complete)
+	qt.Assert(t, ans.TraceID, qt.Not(qt.Equals), "")
+	qt.Assert(t, ans.Results, qt.HasLen, 40)
+	for i, r := range ans.Results {
+		qt.Assert(t, string(r), qt.Equals, fmt.Sprintf(`{"echo":{"n":%d},"task":%d}`, i, i))
+	}
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{40, 1})
+}
+
+// Guards against a task that is lost or starts twice when an agent has no slot,
+// and against results that reach the wrong task.
+func TestBusyAndCrossedResults(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	refused := map[string]bool{}
+	a := c.agent("w1", 11, func(s *wire.Start) *wire.Result {
+		id := fmt.Sprint(s.Key, s.Task)
+		if s.Task%3 == 0 && !refused[id] {
+			refused[id] = true
+			return &wire.Result{Outcome: wire.OutcomeBusy, Ran: wire.RanNo}
+		}
+		return nil
+	})
+	a.connect(n, "")
+	first, second := n.submitLater(newKey(t), job(4)), n.submitLater(newKey(t), job(4))
+	a.waitHeld(8)
+	a.finish("e1") // in the reverse order of the starts
+	for _, ch := range []<-chan submitted{first, second} {
+		r := <-ch
+		qt.Assert(t, r.code, qt.Equals, 200, qt.Commentf("%+v", r.answer))
+		for i, res := range r.answer.Results {
+			qt.Assert(t, string(res), qt.Equals, fmt.Sprintf(`{"echo":{"n":%d},"task":%d}`, i, i))
+		}
+	}
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{8, 1})
+}
+
+// Guards against a second run, or a partial answer, when an agent is lost with
+// started tasks.
+func TestAgentKilled(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted %v", restarted), func(t *testing.T) {
+			c := newCluster(t)
+			n := c.start("e1")
+			a := c.agent("w1", 11, nil)
+			conn := a.connect(n, "")
+			c.agent("w2", 12, ok).connect(n, "")
+			key := newKey(t)
+			later := n.submitLater(key, job(6))
+			eventually(t, "the agent holds a task", func() bool { held, _ := a.started(); return held > 0 })
+			conn.Close(nil)
+			began := time.Now()
+			if restarted {
+				c.agent("w1", 13, ok).connect(n, "")
+			}
+			r := <-later
+			qt.Assert(t, r.code, qt.Equals, 502, qt.Commentf("%+v", r.answer))
+			// The other agent ran some of the tasks.
+			qt.Assert(t, []any{r.answer.Reason, r.answer.Ran, len(r.answer.Results)}, qt.DeepEquals, []any{api.ReasonTaskInDoubt, api.RanYes, 0})
+			qt.Assert(t, r.answer.RetrySafe, qt.IsFalse)
+			qt.Assert(t, time.Since(began) < jobs.SettleWait+time.Second, qt.IsTrue)
+			if restarted {
+				qt.Assert(t, time.Since(began) < jobs.SettleWait, qt.IsTrue)
+			}
+			code, again := n.submit(key, job(6))
+			qt.Assert(t, []any{code, again.Reason}, qt.DeepEquals, []any{502, api.ReasonTaskInDoubt})
+		})
+	}
+}
+
+// relay forwards the UDP packets of one client and can drop them.
+type relay struct {
+	front, back *net.UDPConn
+	client      atomic.Pointer[net.UDPAddr]
+	drop        atomic.Bool
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	addr, err := net.ResolveUDPAddr("udp", to)
+	qt.Assert(t, err, qt.IsNil)
+	r := &relay{}
+	r.front, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	r.back, err = net.DialUDP("udp", nil, addr)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = r.front.Close(); _ = r.back.Close() })
+	go func() {
+		b := make([]byte, 65536)
+		for n, a, err := r.front.ReadFromUDP(b); err == nil; n, a, err = r.front.ReadFromUDP(b) {
+			r.client.Store(a)
+			if !r.drop.Load() {
+				_, _ = r.back.Write(b[:n])
+			}
+		}
+	}()
+	go func() {
+		b := make([]byte, 65536)
+		for n, err := r.back.Read(b); err == nil; n, err = r.back.Read(b) {
+			if !r.drop.Load() {
+				_, _ = r.front.WriteToUDP(b[:n], r.client.Load())
+			}
+		}
+	}()
+	return r
+}
+
+// Guards against a job that hangs or runs twice when the connection to its
+// agent becomes silent while new connections work.
+func TestSilentConnection(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, nil)
+	r := newRelay(t, n.PeerAddr())
+	a.connect(n, r.front.LocalAddr().String())
+	later := n.submitLater(newKey(t), job(3))
+	a.waitHeld(3)
+	r.drop.Store(true)
+	a.connect(n, "") // the agent dials again while the entry still has the old connection
+	a.finish("e1")
+	got := <-later
+	qt.Assert(t, got.code, qt.Equals, 200, qt.Commentf("%+v", got.answer))
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{3, 1})
+}
+
+// Guards against results that were lost with a silent connection.
+func TestResultLostWithConnection(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, nil)
+	r := newRelay(t, n.PeerAddr())
+	conn := a.connect(n, r.front.LocalAddr().String())
+	later := n.submitLater(newKey(t), job(3))
+	a.waitHeld(3)
+	r.drop.Store(true)
+	a.finish("e1")
+	eventually(t, "the entry finds the silent connection", func() bool {
+		lost, _ := ask(context.Background(), n.Entry, func(c *core) bool { return c.agents[11].conn == nil })
+		return lost
+	})
+	conn.Close(nil)
+	a.connect(n, "")
+	got := <-later
+	qt.Assert(t, got.code, qt.Equals, 200, qt.Commentf("%+v", got.answer))
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{3, 1})
+}
+
+// Guards against a cancellation or deadline that gives a second or partial
+// answer, or a wrong ran.
+func TestCancelAndDeadline(t *testing.T) {
+	rows := []struct {
+		name     string
+		agent    bool
+		deadline int64
+		cancel   bool
+		code     int
+		reason   api.Reason
+		ran      api.Ran
+	}{
+		{"cancelled while started", true, 5000, true, 409, api.ReasonCancelled, api.RanMaybe},
+		{"deadline while started", true, 300, false, 504, api.ReasonDeadlineExceeded, api.RanMaybe},
+		{"deadline in the past", true, -1, false, 504, api.ReasonDeadlinePast, api.RanNo},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			c := newCluster(t)
+			n := c.start("e1")
+			a := c.agent("w1", 11, nil)
+			a.connect(n, "")
+			key, s := newKey(t), job(2)
+			s.DeadlineMS = r.deadline
+			began := time.Now()
+			later := n.submitLater(key, s)
+			if r.cancel {
+				a.waitHeld(2)
+				code, ans := n.call("DELETE", "/v1/jobs/"+key.String(), teamToken, nil, nil)
+				qt.Assert(t, []any{code, ans.Reason}, qt.DeepEquals, []any{200, api.ReasonCancelled})
+			}
+			got := <-later
+			qt.Assert(t, []any{got.code, got.answer.Reason, got.answer.Ran}, qt.DeepEquals, []any{r.code, r.reason, r.ran})
+			qt.Assert(t, time.Since(began) < 2*time.Second, qt.IsTrue)
+			a.finish("e1")
+			code, again := n.call("GET", "/v1/jobs/"+key.String(), teamToken, nil, nil)
+			qt.Assert(t, []any{code, again.Reason, len(again.Results)}, qt.DeepEquals, []any{r.code, r.reason, 0})
+		})
+	}
+}
+
+// Guards against a job that runs twice because its caller sent it twice, and
+// against teams that see each other's jobs.
+func TestSameKey(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, nil)
+	a.connect(n, "")
+	key := newKey(t)
+	first, second := n.submitLater(key, job(3)), n.submitLater(key, job(3))
+	a.waitHeld(3)
+	path := "/v1/jobs/" + key.String()
+	code, ans := n.call("POST", "/v1/jobs?wait=false", teamToken, key, job(3))
+	qt.Assert(t, []any{code, ans.State, ans.Tasks}, qt.DeepEquals, []any{202, api.StateRunning, 3})
+	for _, method := range []string{"GET", "DELETE"} {
+		code, ans = n.call(method, path, otherToken, nil, nil)
+		qt.Assert(t, []any{code, ans.Reason}, qt.DeepEquals, []any{404, api.ReasonUnknownKey})
+	}
+	code, ans = n.submit(key, job(2))
+	qt.Assert(t, []any{code, ans.Reason}, qt.DeepEquals, []any{409, api.ReasonKeyConflict})
+	go func() { time.Sleep(50 * time.Millisecond); a.finish("e1") }()
+	code, ans = n.call("GET", path+"?wait=true", teamToken, nil, nil)
+	qt.Assert(t, []any{code, len(ans.Results)}, qt.DeepEquals, []any{200, 3})
+	for _, ch := range []<-chan submitted{first, second} {
+		r := <-ch
+		qt.Assert(t, []any{r.code, len(r.answer.Results)}, qt.DeepEquals, []any{200, 3})
+	}
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{3, 1})
+}
+
+// Guards against a refusal whose status, reason or ran is wrong, and against one
+// that says "not run" before an agent has closed the key.
+func TestRefusals(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, ok)
+	a.connect(n, "")
+	change := func(f func(*api.Submission)) *api.Submission { s := job(1); f(s); return s }
+	future, _ := api.ParseKey(api.NewKeyAt(time.Now().Add(time.Minute), 5).String())
+	rows := []struct {
+		name    string
+		key     api.Key
+		sub     *api.Submission
+		keyless bool
+		code    int
+		reason  api.Reason
+		ran     api.Ran
+	}{
+		{"unknown service", newKey(t), change(func(s *api.Submission) { s.Service = "none" }), false, 404, api.ReasonUnknownService, api.RanNo},
+		{"unknown type", newKey(t), change(func(s *api.Submission) { s.Type = "none" }), false, 422, api.ReasonUnknownType, api.RanNo},
+		{"agent does not close the key", newKey(t), change(func(s *api.Submission) { s.Type = "none" }), true, 422, api.ReasonUnknownType, api.RanMaybe},
+		{"expired", api.NewKeyAt(time.Now().Add(-api.KeyLifetime-api.ClockSkew), 5), job(1), false, 410, api.ReasonKeyExpired, api.RanMaybe},
+		{"from the future", future, job(1), false, 400, api.ReasonKeyFromFuture, api.RanNo},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			a.mu.Lock()
+			a.keyless = r.keyless
+			before := a.closes
+			a.mu.Unlock()
+			for range 2 {
+				code, ans := n.submit(r.key, r.sub)
+				qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{r.code, r.reason, r.ran})
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if r.ran == api.RanNo {
+				qt.Assert(t, a.closes, qt.Equals, before+1)
+			}
+		})
 	}
 }
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -105,12 +105,6 @@
 	return n
 }
 
-// kill ends the entry without a drain.
-func (n *node) kill() {
-	_ = n.listener.Close()
-	_ = n.http.Close()
-}
-
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -35,12 +35,16 @@
 
 // submit admits a submission whose key belongs to this entry.
 func (c *core) submit(r *request, d ownership.Decision, now time.Time) {
+	known := c.jobs.Known(r.key)
 	if a := c.jobs.Check(r.key, r.sub, r.digest, now); a != nil {
-		if a.State == api.StateRunning {
+		switch {
+		case a.State == api.StateRunning:
 			c.answerOrWait(r, now)
-			return
+		case known:
+			r.send(reply{answer: a})
+		default:
+			c.closeKey(a, r.sub.Idempotent, func() { r.send(reply{answer: a}) })
 		}
-		r.send(reply{answer: a})
 		return
 	}
 	// The table is asked first, so that drained entries still answer for their
