--- a/sheet/apply.go
+++ b/sheet/apply.go
@@ -165,13 +165,14 @@
 	return doubt
 }
 
-// Revert makes the content of an older version a new version.
-func Revert(ctx context.Context, p platform.Platform, version uint64, operator, op string) (*Result, error) {
+// Revert makes the content of an older version a new version. base is as the
+// version in Apply.
+func Revert(ctx context.Context, p platform.Platform, version, base uint64, operator, op string) (*Result, error) {
 	c, err := Show(ctx, p, version)
 	if err != nil {
 		return nil, err
 	}
 	next := *c
-	next.Version, next.Restores, next.Operator = 0, version, operator
+	next.Version, next.Restores, next.Operator = base, version, operator
 	return Apply(ctx, p, &next, op)
 }
--- /dev/null
+++ b/sheet/cli/cli.go
@@ -0,0 +1,250 @@
+// Package cli holds the sheet subcommands of the command sesamelift.
+//
+// Input: arguments. Output: text or JSON and an exit code. State: none.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os/user"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/sheet"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2 // usage, or faults in the sheet
+	ExitConflict = 3
+)
+
+const (
+	// defaultTimeout covers the five seconds within which a configuration takes
+	// effect, and a slow platform.
+	defaultTimeout = 15 * time.Second
+	// defaultShown is the number of versions that history lists.
+	defaultShown = 20
+)
+
+// Command runs `sesamelift sheet` with the arguments after "sheet" and returns
+// the exit code.
+func Command(args []string, out, errOut io.Writer) int {
+	c := &command{out: out, errOut: errOut}
+	root := &ffcli.Command{
+		Name: "sheet", ShortUsage: "sesamelift sheet <subcommand> [flags] [arguments]",
+		LongHelp: "Checks the planners' sheet and makes it the configuration of the service.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong usage or faults in the sheet, 3 another operator was faster.",
+		FlagSet:     c.flags("sheet"),
+		Subcommands: c.subcommands(),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return flag.ErrHelp
+			}
+			return usageError{fmt.Sprintf("%q is no subcommand; run `sesamelift sheet -h` for a list", args[0])}
+		},
+	}
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		// Repeated below the usage text that the flag package prints.
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	err := root.Run(context.Background())
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	return c.report(err)
+}
+
+type command struct {
+	out, errOut io.Writer
+
+	json     bool
+	platform string
+	timeout  time.Duration
+	operator string
+	base     uint64
+	shown    int
+}
+
+// usageError is a mistake in the arguments.
+type usageError struct{ message string }
+
+func (e usageError) Error() string { return e.message }
+
+func (c *command) subcommands() []*ffcli.Command {
+	type spec struct {
+		name, arguments, short, long, example string
+		arity                                 int // the most arguments; all are required but for show
+		flags                                 func(*flag.FlagSet)
+		run                                   func(ctx context.Context, args []string) error
+	}
+	specs := []spec{
+		{"check", "FILE", "reports all faults of a sheet", "Nothing is sent to the platform.",
+			"sesamelift sheet check morning.csv", 1, nil, c.check},
+		{"plan", "FILE", "shows what a sheet would change", "Lines marked ! can turn requests away that are accepted now. Nothing is changed.",
+			"sesamelift sheet plan -platform 10.0.0.5:7300 morning.csv", 1, c.platformFlags, c.plan},
+		{"apply", "FILE", "makes a sheet the configuration", "Waits until every entry has the version in effect. Applying the same sheet again changes nothing.",
+			"sesamelift sheet apply -platform 10.0.0.5:7300 morning.csv", 1, c.applyFlags, c.apply},
+		{"history", "", "lists the versions, newest first", "",
+			"sesamelift sheet history -platform 10.0.0.5:7300 -n 5", 0, c.historyFlags, c.history},
+		{"show", "[VERSION]", "prints a version as a sheet", "Without a version, prints the one in effect.",
+			"sesamelift sheet show -platform 10.0.0.5:7300 41 > version-41.csv", 1, c.platformFlags, c.show},
+		{"revert", "VERSION", "makes an older version the newest", "The history keeps all versions; nothing is removed from it.",
+			"sesamelift sheet revert -platform 10.0.0.5:7300 41", 1, c.applyFlags, c.revert},
+	}
+	commands := make([]*ffcli.Command, len(specs))
+	for i, s := range specs {
+		fs := c.flags("sheet " + s.name)
+		fs.BoolVar(&c.json, "json", false, "print the result as JSON")
+		if s.flags != nil {
+			s.flags(fs)
+		}
+		usage := "sesamelift sheet " + s.name + " [flags] " + s.arguments
+		run, required := s.run, s.arity
+		if s.name == "show" {
+			required = 0
+		}
+		commands[i] = &ffcli.Command{
+			Name: s.name, ShortUsage: usage, ShortHelp: s.short, FlagSet: fs,
+			LongHelp: "This command " + s.short + ". " + s.long + "\n\nEXAMPLE\n  " + s.example,
+			Options:  []ff.Option{ff.WithEnvVarPrefix("SESAMELIFT")},
+			Exec: func(ctx context.Context, args []string) error {
+				args, err := interspersed(fs, args)
+				if err != nil {
+					return usageError{err.Error()}
+				}
+				if len(args) < required || len(args) > s.arity {
+					return usageError{"usage: " + usage}
+				}
+				if c.timeout > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, c.timeout)
+					defer cancel()
+				}
+				return run(ctx, args)
+			},
+		}
+	}
+	return commands
+}
+
+// interspersed parses flags that stand after an argument, where the flag
+// package stops.
+func interspersed(fs *flag.FlagSet, args []string) ([]string, error) {
+	var rest []string
+	for len(args) > 0 {
+		rest = append(rest, args[0])
+		if err := fs.Parse(args[1:]); err != nil {
+			return nil, err
+		}
+		args = fs.Args()
+	}
+	return rest, nil
+}
+
+func (c *command) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(c.errOut)
+	return fs
+}
+
+func (c *command) platformFlags(fs *flag.FlagSet) {
+	fs.StringVar(&c.platform, "platform", "", "IP address and port of the platform; also SESAMELIFT_PLATFORM")
+	fs.DurationVar(&c.timeout, "timeout", defaultTimeout, "how long the command may take")
+}
+
+func (c *command) historyFlags(fs *flag.FlagSet) {
+	c.platformFlags(fs)
+	fs.IntVar(&c.shown, "n", defaultShown, "how many versions to list, 0 for all")
+}
+
+func (c *command) applyFlags(fs *flag.FlagSet) {
+	c.platformFlags(fs)
+	name := ""
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	fs.StringVar(&c.operator, "operator", name, "name that the history and other operators see")
+	fs.Uint64Var(&c.base, "base", 0, "version that the plan was made for; another one is a conflict; 0 for the one in effect")
+}
+
+func (c *command) client() (*platform.Client, error) {
+	if c.platform == "" {
+		return nil, usageError{"flag -platform is required: the IP address and port of the platform"}
+	}
+	if _, err := netip.ParseAddrPort(c.platform); err != nil {
+		return nil, usageError{fmt.Sprintf("flag -platform: %q is not an IP address and port", c.platform)}
+	}
+	return platform.NewClient(c.platform), nil
+}
+
+func operationID() (string, error) {
+	id, err := uuid.NewV7()
+	return id.String(), errors.Wrap(err, "generate operation id")
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error  string       `json:"error"`
+	Faults sheet.Faults `json:"faults,omitempty"`
+}
+
+// report prints an error and returns the exit code.
+func (c *command) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	code, f := ExitFailed, failure{Error: err.Error()}
+	var usage usageError
+	var conflict *sheet.ConflictError
+	var doubt *platform.DoubtError
+	var invalid config.Faults
+	switch {
+	case errors.As(err, &f.Faults):
+		code, f.Error = ExitUsage, fmt.Sprintf("the sheet has %s; nothing was changed", sheet.Count(len(f.Faults), "fault"))
+	case errors.As(err, &usage), errors.As(err, &invalid):
+		code = ExitUsage
+	case errors.As(err, &conflict):
+		code = ExitConflict
+		f.Error += "; run `sesamelift sheet plan` again to see what your sheet would change now"
+	case errors.As(err, &doubt):
+		f.Error = "the platform went away before it confirmed the change, which may have taken effect; apply the same sheet again, which is safe (" + err.Error() + ")"
+	case errors.Is(err, platform.ErrUnavailable):
+		f.Error = "the platform at " + c.platform + " does not answer; the version in effect stays in effect, try again later (" + err.Error() + ")"
+	}
+	var late notEverywhereError
+	if c.json && errors.As(err, &late) {
+		return code // the result names the entries that are missing
+	}
+	if c.json {
+		_ = c.printJSON(f)
+		return code
+	}
+	if len(f.Faults) > 0 {
+		fmt.Fprintln(c.errOut, f.Faults)
+	}
+	fmt.Fprintln(c.errOut, f.Error)
+	return code
+}
+
+func (c *command) printJSON(v any) error {
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(v), "write result")
+}
--- /dev/null
+++ b/sheet/cli/commands.go
@@ -0,0 +1,248 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/sheet"
+)
+
+func read(file string) (*config.Config, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the sheet")
+	}
+	c, faults := sheet.Parse(filepath.Base(file), content)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return c, nil
+}
+
+func (c *command) check(_ context.Context, args []string) error {
+	cfg, err := read(args[0])
+	if err != nil {
+		return err
+	}
+	types := 0
+	for _, s := range cfg.Services {
+		types += len(s.Types)
+	}
+	if c.json {
+		return c.printJSON(map[string]int{"services": len(cfg.Services), "types": types, "teams": len(cfg.Teams), "workers": len(cfg.Workers)})
+	}
+	_, err = fmt.Fprintf(c.out, "the sheet is valid: services %d, request types %d, teams %d, workers %d\n",
+		len(cfg.Services), types, len(cfg.Teams), len(cfg.Workers))
+	return err
+}
+
+func (c *command) plan(ctx context.Context, args []string) error {
+	p, err := c.client()
+	if err != nil {
+		return err
+	}
+	next, err := read(args[0])
+	if err != nil {
+		return err
+	}
+	current, err := sheet.Current(ctx, p)
+	if err != nil {
+		return err
+	}
+	version := uint64(0)
+	if current != nil {
+		version = current.Version
+	}
+	d := sheet.Plan(current, next)
+	if c.json {
+		return c.printJSON(struct {
+			Base uint64 `json:"base"`
+			sheet.Difference
+		}{version, d})
+	}
+	if version == 0 {
+		_, err = fmt.Fprintf(c.out, "no configuration is in effect yet\n%s", d)
+		return err
+	}
+	_, err = fmt.Fprintf(c.out, "compared with version %d, which is in effect:\n%s", version, d)
+	return err
+}
+
+func (c *command) apply(ctx context.Context, args []string) error {
+	p, err := c.client()
+	if err != nil {
+		return err
+	}
+	next, err := read(args[0])
+	if err != nil {
+		return err
+	}
+	op, err := operationID()
+	if err != nil {
+		return err
+	}
+	next.Operator, next.Version = c.operator, c.base
+	result, err := sheet.Apply(ctx, p, next, op)
+	if err != nil {
+		return err
+	}
+	return c.finish(ctx, p, result)
+}
+
+func (c *command) revert(ctx context.Context, args []string) error {
+	p, err := c.client()
+	if err != nil {
+		return err
+	}
+	version, err := versionOf(args)
+	if err != nil {
+		return err
+	}
+	op, err := operationID()
+	if err != nil {
+		return err
+	}
+	result, err := sheet.Revert(ctx, p, version, c.base, c.operator, op)
+	if err != nil {
+		return err
+	}
+	return c.finish(ctx, p, result)
+}
+
+// finish waits for the entries and prints what was done.
+func (c *command) finish(ctx context.Context, p platform.Table, r *sheet.Result) error {
+	progress, waitErr := sheet.Wait(ctx, p, r.Version)
+	if c.json {
+		if err := c.printJSON(struct {
+			*sheet.Result
+			sheet.Progress
+		}{r, progress}); err != nil {
+			return err
+		}
+	} else if err := c.printResult(r, progress, waitErr); err != nil {
+		return err
+	}
+	switch {
+	case waitErr != nil:
+		return errors.Wrapf(notEverywhereError{}, "version %d is accepted, but the platform stopped answering before the entries could be checked", r.Version)
+	case len(progress.Missing) > 0:
+		return errors.Wrapf(notEverywhereError{}, "version %d is accepted, but not yet reported within %v by %d of %s",
+			r.Version, c.timeout, len(progress.Missing), entries(len(progress.Missing)+len(progress.Done)))
+	}
+	return nil
+}
+
+// notEverywhereError says that a version was accepted, so that an operator does
+// not take the failure for one of the change.
+type notEverywhereError struct{}
+
+func (notEverywhereError) Error() string {
+	return "it takes effect there as soon as they read it; run the command again to check"
+}
+
+func (c *command) printResult(r *sheet.Result, progress sheet.Progress, waitErr error) error {
+	var b strings.Builder
+	if r.Unchanged {
+		fmt.Fprintf(&b, "version %d has this content already; nothing was changed\n", r.Version)
+	} else {
+		fmt.Fprintf(&b, "version %d is accepted\n%s", r.Version, r.Difference)
+	}
+	if r.HistoryError != "" {
+		fmt.Fprintf(&b, "warning: the history row is not written yet, the next change adds it (%s)\n", r.HistoryError)
+	}
+	if waitErr == nil && len(progress.Done)+len(progress.Missing) == 0 {
+		b.WriteString("no entry is running; the version takes effect when one starts\n")
+	}
+	if len(progress.Done) > 0 {
+		fmt.Fprintf(&b, "in effect at: %s\n", strings.Join(progress.Done, ", "))
+	}
+	for _, m := range progress.Missing {
+		reported := "has reported no version since it started"
+		if m.Version > 0 {
+			reported = fmt.Sprintf("has version %d", m.Version)
+		}
+		fmt.Fprintf(&b, "not yet in effect at: %s, which %s\n", m.Name, reported)
+	}
+	_, err := fmt.Fprint(c.out, b.String())
+	return err
+}
+
+func (c *command) history(ctx context.Context, _ []string) error {
+	p, err := c.client()
+	if err != nil {
+		return err
+	}
+	versions, err := sheet.History(ctx, p)
+	if err != nil {
+		return err
+	}
+	if c.shown > 0 && len(versions) > c.shown {
+		versions = versions[:c.shown]
+	}
+	if c.json {
+		return c.printJSON(versions)
+	}
+	if len(versions) == 0 {
+		_, err = fmt.Fprintln(c.out, "no configuration has been applied yet")
+		return err
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "VERSION\tAPPLIED\tOPERATOR\tNOTE")
+	for _, e := range versions {
+		note := ""
+		if e.Restores > 0 {
+			note = fmt.Sprintf("restores version %d", e.Restores)
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", e.Version, e.At.Local().Format(time.DateTime), e.Operator, note)
+	}
+	return w.Flush()
+}
+
+func (c *command) show(ctx context.Context, args []string) error {
+	p, err := c.client()
+	if err != nil {
+		return err
+	}
+	version, err := versionOf(args)
+	if err != nil {
+		return err
+	}
+	cfg, err := sheet.Show(ctx, p, version)
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return c.printJSON(cfg)
+	}
+	_, err = c.out.Write(sheet.Format(cfg))
+	return err
+}
+
+// versionOf reads the argument VERSION; without one it returns 0.
+func versionOf(args []string) (uint64, error) {
+	if len(args) == 0 {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil || version == 0 {
+		return 0, usageError{fmt.Sprintf("%q is not a version; `sesamelift sheet history` lists them", args[0])}
+	}
+	return version, nil
+}
+
+func entries(n int) string {
+	if n == 1 {
+		return "1 entry"
+	}
+	return fmt.Sprintf("%d entries", n)
+}
--- a/sheet/plan.go
+++ b/sheet/plan.go
@@ -70,9 +70,17 @@
 	case len(d.Changes) == 0:
 		b.WriteString("nothing would change\n")
 	case n > 0:
-		fmt.Fprintf(&b, "%d changes, %d marked ! can turn requests away that are accepted now\n", len(d.Changes), n)
+		fmt.Fprintf(&b, "%s, %d marked ! can turn requests away that are accepted now\n", Count(len(d.Changes), "change"), n)
 	default:
-		fmt.Fprintf(&b, "%d changes\n", len(d.Changes))
+		fmt.Fprintf(&b, "%s\n", Count(len(d.Changes), "change"))
 	}
 	return b.String()
 }
+
+// Count returns the number with the noun, in the plural unless it is 1.
+func Count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -24,6 +24,9 @@
 	quietTime = 200 * time.Millisecond
 	// defaultStragglerFactor is how many times longer stragglers run.
 	defaultStragglerFactor = 20
+	// finishTimeout bounds how long a leaving server waits for its tasks. A few
+	// take several seconds, stragglers many times that.
+	finishTimeout = time.Minute
 )
 
 // BackendFaults are the faults of the backend server stand-in.
@@ -74,7 +77,9 @@
 	faults  BackendFaults
 	running int
 	peak    int
-	// idleSince is when running last fell to zero.
+	// hung is how many of the running tasks will never finish.
+	hung int
+	// idleSince is when the last task ended.
 	idleSince time.Time
 	killed    chan struct{}
 	killOnce  sync.Once
@@ -226,23 +231,26 @@
 	return nil
 }
 
-// finishTasks waits until no task has run for quietTime.
+// finishTasks waits until no task has run for quietTime, apart from those that
+// hang.
 func (b *Backend) finishTasks() {
 	b.mu.Lock()
-	if b.running == 0 {
-		b.idleSince = time.Now()
-	}
+	b.idleSince = time.Now()
 	b.mu.Unlock()
+	timeout := time.NewTimer(finishTimeout)
+	defer timeout.Stop()
 	ticker := time.NewTicker(quietTime / 10)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-b.killed:
 			return
+		case <-timeout.C:
+			return
 		case <-ticker.C:
 		}
 		b.mu.Lock()
-		quiet := b.running == 0 && time.Since(b.idleSince) >= quietTime
+		quiet := b.running == b.hung && time.Since(b.idleSince) >= quietTime
 		b.mu.Unlock()
 		if quiet {
 			return
--- a/standin/backend_task.go
+++ b/standin/backend_task.go
@@ -81,7 +81,7 @@
 		return
 	}
 	f := b.begin(x)
-	defer b.end()
+	defer b.end(f)
 	if f.FailAll || f.Hang {
 		b.refuse(w, r, f)
 		return
@@ -106,13 +106,19 @@
 	defer b.mu.Unlock()
 	b.running++
 	b.peak = max(b.peak, b.running)
+	if b.faults.Hang && !b.faults.FailAll {
+		b.hung++
+	}
 	return b.faults
 }
 
-func (b *Backend) end() {
+func (b *Backend) end(f BackendFaults) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	if f.Hang && !f.FailAll {
+		b.hung--
+	}
 	b.idleSince = time.Now()
 }
 
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -140,6 +140,12 @@
 	for now, _ := b.Running(); now == 0; now, _ = b.Running() {
 		time.Sleep(time.Millisecond)
 	}
+	// A task that hangs must not keep the server from leaving.
+	b.SetFaults(BackendFaults{Hang: true})
+	go func() { _, _ = run(context.Background(), b, api.NewKeyAt(time.Now(), 2), 0, `{}`) }()
+	for now, _ := b.Running(); now < 2; now, _ = b.Running() {
+		time.Sleep(time.Millisecond)
+	}
 	stop()
 	for call := range calls {
 		if call == "/leave cleft-01 []" {
