--- /dev/null
+++ b/bench/command.go
@@ -0,0 +1,145 @@
+package bench
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/sesamelift/sesamelift/placement"
+)
+
+// Exit statuses of Command.
+const (
+	exitOK = iota
+	// exitFailure: the run failed, or something happened that must not.
+	exitFailure
+	exitUsage
+)
+
+// maxLength bounds the measured part of a run.
+const maxLength = 5 * time.Minute
+
+type options struct {
+	scenario, policy string
+	seed             uint64
+	length           time.Duration
+	json, compare    bool
+	plot             string
+	log              io.Writer
+}
+
+var policies = []string{placement.Estimate, placement.PowerOfTwo, placement.Random}
+
+// Command runs `sesamelift bench` with the arguments after the word bench and
+// returns the exit status. Results go to out, messages to errOut.
+func Command(args []string, out, errOut io.Writer) int {
+	o, s, err := parse(args, errOut)
+	if err != nil {
+		if err != flag.ErrHelp {
+			fmt.Fprintf(errOut, "sesamelift bench: %v\n", err)
+		}
+		return exitUsage
+	}
+	chosen := []string{o.policy}
+	if o.compare {
+		chosen = policies
+	}
+	status := exitOK
+	var curves []curve
+	for _, p := range chosen {
+		o.policy = p
+		r, err := execute(o, s, s.workload(o.length), errOut)
+		if err != nil {
+			fmt.Fprintf(errOut, "sesamelift bench: %v\n", err)
+			return exitFailure
+		}
+		rep := r.report()
+		write(out, rep, o.json)
+		if !rep.Correct() {
+			fmt.Fprintln(errOut, "sesamelift bench: double starts, partial answers or incorrect \"not run\" answers: see the report")
+			status = exitFailure
+		}
+		curves = append(curves, r.curves()...)
+	}
+	if o.plot != "" {
+		if err := writePlot(o.plot, s, curves); err != nil {
+			fmt.Fprintf(errOut, "sesamelift bench: %v\n", err)
+			return exitFailure
+		}
+	}
+	return status
+}
+
+func parse(args []string, errOut io.Writer) (options, *scenario, error) {
+	o := options{log: errOut}
+	f := flag.NewFlagSet("sesamelift bench", flag.ContinueOnError)
+	f.SetOutput(errOut)
+	f.StringVar(&o.scenario, "scenario", "steady", "what to run:\n"+scenarioHelp())
+	f.StringVar(&o.policy, "policy", placement.Estimate, "placement policy: "+strings.Join(policies, ", "))
+	f.Uint64Var(&o.seed, "seed", 1, "seed of the trace")
+	f.DurationVar(&o.length, "duration", 0, "length of the measured part; 0 means that of the scenario. crest has a fixed length")
+	f.BoolVar(&o.json, "json", false, "write one JSON object per run")
+	f.BoolVar(&o.compare, "compare", false, "run all policies on the same trace")
+	f.StringVar(&o.plot, "plot", "", "write the distribution of response times to this file (.png, .svg or .pdf)")
+	if err := f.Parse(args); err != nil {
+		return o, nil, err
+	}
+	if f.NArg() > 0 {
+		return o, nil, fmt.Errorf("unexpected argument %q", f.Arg(0))
+	}
+	known := false
+	for _, p := range policies {
+		known = known || p == o.policy
+	}
+	if !known {
+		return o, nil, fmt.Errorf("policy %q is unknown, choose one of %s", o.policy, strings.Join(policies, ", "))
+	}
+	if o.length < 0 || o.length > maxLength {
+		return o, nil, fmt.Errorf("duration %v is out of range, choose 0 to %v", o.length, maxLength)
+	}
+	for i := range scenarios {
+		if s := &scenarios[i]; s.name == o.scenario {
+			if o.length == 0 {
+				o.length = s.length
+			}
+			return o, s, nil
+		}
+	}
+	return o, nil, fmt.Errorf("scenario %q is unknown, choose one of:\n%s", o.scenario, scenarioHelp())
+}
+
+func scenarioHelp() string {
+	var b strings.Builder
+	for _, s := range scenarios {
+		fmt.Fprintf(&b, "  %-11s %s\n", s.name, s.about)
+	}
+	return b.String()
+}
+
+func write(out io.Writer, rep *Report, asJSON bool) {
+	b, err := json.Marshal(rep)
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return
+	}
+	if asJSON {
+		fmt.Fprintf(out, "%s\n", b)
+		return
+	}
+	// The text form lists the same keys, one per line.
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.UseNumber()
+	_, _ = d.Token()
+	for d.More() {
+		key, _ := d.Token()
+		var v json.RawMessage
+		if d.Decode(&v) != nil {
+			return
+		}
+		fmt.Fprintf(out, "%-26s %s\n", key, v)
+	}
+	fmt.Fprintln(out)
+}
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,69 @@
+package bench
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// curve is a distribution of response times.
+type curve struct {
+	name  string
+	times []time.Duration
+}
+
+// curves returns the measured distribution and the ideal one.
+func (r *run) curves() []curve {
+	best := ideal(r.jobs, speeds, slotsPerWorker)
+	measured, perfect := curve{name: r.o.policy}, curve{name: "ideal"}
+	for _, i := range r.measured() {
+		if r.complete(i) {
+			measured.times = append(measured.times, r.outcome(i).response)
+			perfect.times = append(perfect.times, best[i])
+		}
+	}
+	return []curve{measured, perfect}
+}
+
+// minPlotted keeps the logarithm of the axis finite.
+const minPlotted = time.Millisecond
+
+// writePlot draws the share of jobs that took longer than a time, on logarithmic
+// axes that show the tail.
+func writePlot(file string, s *scenario, curves []curve) error {
+	p := plot.New()
+	p.Title.Text = "Response times, scenario " + s.name
+	p.X.Label.Text = "response time [ms]"
+	p.Y.Label.Text = "share of jobs that took longer"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	seenIdeal := false
+	for _, c := range curves {
+		if len(c.times) == 0 || c.name == "ideal" && seenIdeal {
+			continue
+		}
+		seenIdeal = seenIdeal || c.name == "ideal"
+		if err := plotutil.AddLines(p, c.name, c.points()); err != nil {
+			return errors.Wrap(err, "draw the distribution")
+		}
+	}
+	return errors.Wrap(p.Save(20*vg.Centimeter, 12*vg.Centimeter, file), "write the plot")
+}
+
+func (c *curve) points() plotter.XYs {
+	slices.Sort(c.times)
+	points := make(plotter.XYs, len(c.times))
+	for i, t := range c.times {
+		points[i].X = float64(max(t, minPlotted)) / float64(time.Millisecond)
+		points[i].Y = math.Max(float64(len(c.times)-i), 0.5) / float64(len(c.times))
+	}
+	return points
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,112 @@
+package bench
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+// run is one execution of a scenario.
+type run struct {
+	o        options
+	scenario *scenario
+	load     workload
+	jobs     []job
+	cluster  *cluster
+	callers  *callers
+	// faultAt is the time of the fault in the trace.
+	faultAt time.Duration
+	// victimRuns is the number of tasks that the victim of the fault had run
+	// when it should have stopped getting work.
+	victimRuns int
+	cpu        time.Duration
+}
+
+// execute runs a workload and returns when all answers are there and all
+// processes have ended.
+func execute(o options, s *scenario, w workload, log io.Writer) (*run, error) {
+	r := &run{o: o, scenario: s, load: w, jobs: generate(w, capacity(), o.seed)}
+	var err error
+	if r.cluster, err = newCluster(o.policy, log); err != nil {
+		return nil, err
+	}
+	defer r.cluster.close()
+	r.callers = newCallers(r.cluster.addresses(), r.cluster.tokens, r.jobs)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.callers.began = time.Now()
+	for i := range r.jobs {
+		r.jobs[i].key = api.NewKeyAt(r.callers.began, o.seed<<20+uint64(i))
+	}
+	r.faultAt = w.phases[0].length + faultAfter
+	var fault sync.WaitGroup
+	if s.fault != nil {
+		fault.Go(func() {
+			if sleep(ctx, time.Until(r.callers.began.Add(r.faultAt))) {
+				s.fault(ctx, r)
+			}
+		})
+	}
+	before := cpuTime()
+	r.callers.run(ctx)
+	r.cpu = cpuTime() - before
+	cancel()
+	fault.Wait()
+	return r, nil
+}
+
+// measured returns the indexes of the jobs after the warm-up.
+func (r *run) measured() []int {
+	var out []int
+	for i := range r.jobs {
+		if r.jobs[i].phase > 0 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (r *run) outcome(i int) *outcome { return &r.callers.outcomes[i] }
+
+func (r *run) complete(i int) bool {
+	a := r.outcome(i).answer
+	return a != nil && a.Verdict == api.Complete
+}
+
+// refused reports whether the job was refused and nothing of it ran.
+func (r *run) refused(i int) bool {
+	a := r.outcome(i).answer
+	return a != nil && a.Verdict == api.Failed && a.Ran == api.RanNo && !r.outcome(i).cancelled
+}
+
+// executions returns how often the task ran on all backend servers.
+func (r *run) executions(i, task int) int {
+	n := 0
+	for _, w := range r.cluster.workers {
+		n += w.runs.Count(executionOf(&r.jobs[i], task))
+	}
+	return n
+}
+
+// slowdown is the response relative to the longest task of the job.
+func (r *run) slowdown(i int) float64 {
+	return float64(r.outcome(i).response) / float64(slices.Max(r.jobs[i].work))
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// maxRSS returns the peak memory of the process in MB.
+func maxRSS() float64 {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return float64(u.Maxrss) / 1024
+}
