--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,9 +82,17 @@
 	abort chan struct{}
 	once  sync.Once
 
+	// joining ends the registration, joinEnded is closed after it.
+	joining    context.Context
+	cancelJoin context.CancelFunc
+	joinEnded  chan struct{}
+	// attempted is set when a registration may have been written.
+	attempted  atomic.Bool
 	registered atomic.Bool
 	running    atomic.Int64
 	links      atomic.Int64
+	// dials are the loops of the connections.
+	dials sync.WaitGroup
 	// unready says why the agent takes no tasks, or is empty.
 	unready atomic.Pointer[string]
 }
@@ -110,6 +118,8 @@
 	}
 	a.log = o.Log.WithFields(logrus.Fields{"worker": o.Settings.Name, "incarnation": a.incarnation})
 	a.ctx, a.stop = context.WithCancel(context.Background())
+	a.joining, a.cancelJoin = context.WithCancel(a.ctx)
+	a.joinEnded = make(chan struct{})
 	a.backend = backend.New(backend.Options{
 		Connections:    o.Settings.Connections,
 		HealthInterval: o.Settings.HealthInterval(),
@@ -154,6 +164,7 @@
 		func(error) { _ = server.Close() })
 	a.add(&g, func(context.Context) error { return a.drainAfter(ctx) })
 	err := g.Run()
+	a.dials.Wait()
 	a.log.WithError(err).Info("agent ended")
 	return err
 }
@@ -172,11 +183,15 @@
 		return errors.New("stopped without a drain")
 	case <-ctx.Done():
 	}
-	if !a.registered.Load() {
-		return nil
+	a.cancelJoin()
+	<-a.joinEnded
+	if a.registered.Load() {
+		if err := a.drain(); err != nil {
+			return err
+		}
 	}
-	if err := a.drain(); err != nil {
-		return err
+	if !a.attempted.Load() {
+		return nil
 	}
 	return a.leave()
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sesamelift/sesamelift/agent/interim/ownership"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -61,7 +61,7 @@
 		if c.dials[e] == nil {
 			ctx, cancel := context.WithCancel(c.a.ctx)
 			c.dials[e] = cancel
-			go c.a.keepLink(ctx, e)
+			c.a.dials.Go(func() { c.a.keepLink(ctx, e) })
 		}
 	}
 }
