--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -106,10 +106,12 @@
 	return c, nil
 }
 
+// newLog returns the log of the processes. Faults are part of the scenarios, so
+// that warnings say nothing new.
 func newLog(out io.Writer) *logrus.Entry {
 	l := logrus.New()
 	l.SetOutput(out)
-	l.SetLevel(logrus.DebugLevel)
+	l.SetLevel(logrus.ErrorLevel)
 	return logrus.NewEntry(l)
 }
 
@@ -129,7 +131,7 @@
 	go func() {
 		defer c.running.Done()
 		if err := f(ctx); err != nil && ctx.Err() == nil {
-			c.log.WithError(err).Warnf("%s ended", what)
+			c.log.WithError(err).Errorf("%s ended", what)
 		}
 	}()
 }
--- a/bench/trace.go
+++ b/bench/trace.go
@@ -59,8 +59,8 @@
 	maxWork         = time.Second
 	stragglerFactor = 10
 	longFactor      = 100
-	// sizeExponent shapes the job sizes from 1 to api.MaxTasks: half of the jobs
-	// have at most 3 tasks, the mean is about 11.
+	// sizeExponent shapes the job sizes from 1 to api.MaxTasks: 59% of the jobs
+	// have at most 3 tasks, the mean is 10.3.
 	sizeExponent = 0.6
 	// maxLongTasks bounds the jobs of long tasks.
 	maxLongTasks = 4
