--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,8 @@
 
 generate:
 	cd wire && go tool -modfile=../tools/go.mod msgp -file messages.go -o messages_gen.go -tests=false -io=false
+
+# Builds the programs and runs both example deployments on loopback.
+.PHONY: demo
+demo: build
+	sh scripts/demo.sh
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 set -u
 mkdir -p run/logs
 pids=""
+platforms=""
 
 start() { # start LOG COMMAND...
 	log=run/logs/$1.log
@@ -14,12 +15,17 @@
 	pids="$pids $!"
 }
 
+stop() { # stop PID...
+	for p in "$@"; do kill "$p" 2>/dev/null; done
+	for p in "$@"; do wait "$p" 2>/dev/null; done
+}
+
+# The platform stays until entries and agents have signed off there.
 finish() {
 	code=$?
 	trap - EXIT INT TERM
-	# Newest first, so that callers and agents stop before the platform does.
-	for p in $(printf '%s\n' $pids | tac); do kill "$p" 2>/dev/null; done
-	for p in $pids; do wait "$p" 2>/dev/null; done
+	stop $pids
+	stop $platforms
 	exit "$code"
 }
 trap finish EXIT
@@ -28,8 +34,9 @@
 deployment() { # deployment NAME BASE_PORT WORKER SERVICE SPEED...
 	name=$1 base=$2 worker=$3 service=$4
 	shift 4
-	start "$name-platform" bin/sesamelift standin platform -address 127.0.0.1:$((base + 300))
-	bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:$((base + 300))/healthz" || exit 1
+	bin/sesamelift standin platform -address 127.0.0.1:$((base + 300)) >"run/logs/$name-platform.log" 2>&1 &
+	platforms="$platforms $!"
+	bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:$((base + 300))/v1/table?prefix=roster" || exit 1
 	bin/sesamelift sheet apply -platform 127.0.0.1:$((base + 300)) -timeout 0s "examples/$name/sheet.csv" || exit 1
 	for i in 1 2; do
 		start "$name-entry-$i" bin/sesamelift-entry -settings "examples/$name/entry-$i.json"
