Let the refusal of a connection arrive before it closes

Change: the role is checked after the hello is read, and only Refuse closes a refused connection, after its grace time.

Conclusion: a peer with the wrong role always learns why.

--- a/transport/dial.go
+++ b/transport/dial.go
@@ -155,6 +155,11 @@
 				_ = q.CloseWithError(1, "no valid hello")
 				return
 			}
+			// Refuse closes the connection itself, after the reason has arrived.
+			if err := p.check(q.ConnectionState().TLS); err != nil {
+				_ = p.Refuse(err.Error())
+				return
+			}
 			h(p)
 		}()
 	}
@@ -179,12 +184,7 @@
 	if !ok {
 		return nil, errors.Errorf("got message type %d instead of a hello", m.MessageType())
 	}
-	p := &Pending{Hello: hello, quic: q, stream: s, reader: r}
-	if err := p.check(q.ConnectionState().TLS); err != nil {
-		_ = p.Refuse(err.Error())
-		return nil, err
-	}
-	return p, nil
+	return &Pending{Hello: hello, quic: q, stream: s, reader: r}, nil
 }
 
 func (p *Pending) check(state tls.ConnectionState) error {
