Test two entries: forwarding, crash, drain, removal, platform faults

Cause: ownership changes had no check over real connections. Change: tests with two entries, an agent connected to both, and the platform stand-in.

--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+// kill ends an entry without a drain, as a crash does.
+func (n *node) kill() {
+	_ = n.listener.Close()
+	_ = n.http.Close()
+	n.ended <- <-n.ended
+}
+
+// ownedBy returns a new key that the entry of that name owns.
+func ownedBy(t *testing.T, name string, names ...string) api.Key {
+	for {
+		if k := newKey(t); ownership.Winner(names, k) == name {
+			return k
+		}
+	}
+}
+
+func (n *node) members() int {
+	count, _ := ask(context.Background(), n.Entry, func(c *core) int {
+		if c.own.Roster() == nil {
+			return 0
+		}
+		return len(c.own.Roster().Members)
+	})
+	return count
+}
+
+// pair starts two entries and an agent that is connected to both.
+func pair(t *testing.T, run func(*wire.Start) *wire.Result) (*cluster, *node, *node, *fakeAgent) {
+	c := newCluster(t)
+	e1, e2 := c.start("e1"), c.start("e2")
+	eventually(t, "both entries know each other", func() bool {
+		return e1.members() == 2 && e2.members() == 2 && e1.peers.conn(e2.Incarnation()) != nil && e2.peers.conn(e1.Incarnation()) != nil
+	})
+	a := c.agent("w1", 11, run)
+	a.connect(e1, "")
+	a.connect(e2, "")
+	return c, e1, e2, a
+}
+
+// Guards against a job that runs at an entry that does not own its key, and
+// against requests that do not reach the owner.
+func TestForward(t *testing.T) {
+	_, e1, e2, a := pair(t, nil)
+	key := ownedBy(t, "e2", "e1", "e2")
+	later := e1.submitLater(key, job(3))
+	direct := e2.submitLater(key, job(3))
+	a.waitHeld(3)
+	running, _ := ask(context.Background(), e1.Entry, func(c *core) int { return c.jobs.Running() })
+	qt.Assert(t, running, qt.Equals, 0)
+	path := "/v1/jobs/" + key.String()
+	code, ans := e1.call("GET", path, teamToken, nil, nil)
+	qt.Assert(t, []any{code, ans.State}, qt.DeepEquals, []any{202, api.StateRunning})
+	code, ans = e1.call("GET", path, otherToken, nil, nil)
+	qt.Assert(t, []any{code, ans.Reason}, qt.DeepEquals, []any{404, api.ReasonUnknownKey})
+	a.finish("e2")
+	for _, ch := range []<-chan submitted{later, direct} {
+		r := <-ch
+		qt.Assert(t, []any{r.code, len(r.answer.Results)}, qt.DeepEquals, []any{200, 3})
+	}
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{3, 1})
+
+	key = ownedBy(t, "e2", "e1", "e2")
+	later = e1.submitLater(key, job(1))
+	a.waitHeld(1)
+	code, ans = e1.call("DELETE", "/v1/jobs/"+key.String(), teamToken, nil, nil)
+	qt.Assert(t, []any{code, ans.Reason}, qt.DeepEquals, []any{200, api.ReasonCancelled})
+	r := <-later
+	qt.Assert(t, []any{r.code, r.answer.Reason}, qt.DeepEquals, []any{409, api.ReasonCancelled})
+}
+
+// Guards against a second start, or a partial answer, when the owner of a job
+// crashes and its caller submits the job again elsewhere.
+func TestOwnerCrash(t *testing.T) {
+	_, e1, e2, a := pair(t, nil)
+	key := ownedBy(t, "e1", "e1", "e2")
+	e1.submitLater(key, job(5))
+	a.waitHeld(5)
+	e1.kill()
+	// While the platform still lists the owner, the submission is not run here.
+	short := job(5)
+	short.DeadlineMS = 500
+	code, ans := e2.submit(key, short)
+	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{503, api.ReasonOwnerUnreachable, api.RanMaybe})
+	eventually(t, "the crashed entry is removed", func() bool { return e2.members() == 1 })
+	later := e2.submitLater(key, job(5))
+	eventually(t, "the job is recovered", func() bool {
+		n, _ := ask(context.Background(), e2.Entry, func(c *core) int { return c.jobs.Running() })
+		return n == 1
+	})
+	a.finish("e2")
+	r := <-later
+	qt.Assert(t, r.code, qt.Equals, 200, qt.Commentf("%+v", r.answer))
+	qt.Assert(t, r.answer.Results, qt.HasLen, 5)
+	tasks, most := a.started()
+	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{5, 1})
+	code, ans = e2.submit(ownedBy(t, "e1", "e1", "e2"), func() *api.Submission { s := job(1); s.Type = "none"; return s }())
+	qt.Assert(t, []any{code, ans.Ran}, qt.DeepEquals, []any{422, api.RanNo})
+}
+
+// Guards against a late copy that runs at the next owner after the first owner
+// has said "not run".
+func TestRefusalOutlivesItsOwner(t *testing.T) {
+	_, e1, e2, a := pair(t, ok)
+	key := ownedBy(t, "e1", "e1", "e2")
+	_, err := ask(context.Background(), e1.Entry, func(c *core) any { c.types = nil; return nil })
+	qt.Assert(t, err, qt.IsTrue)
+	code, ans := e1.submit(key, job(2))
+	qt.Assert(t, []any{code, ans.Ran}, qt.DeepEquals, []any{404, api.RanNo})
+	e1.kill()
+	eventually(t, "the crashed entry is removed", func() bool { return e2.members() == 1 })
+	code, ans = e2.submit(key, job(2))
+	qt.Assert(t, ans.Verdict, qt.Equals, api.Failed, qt.Commentf("%d %+v", code, ans))
+	tasks, _ := a.started()
+	qt.Assert(t, tasks, qt.Equals, 0)
+}
+
+// Guards against a graceful shutdown that interrupts a job, and against new jobs
+// that fail while another entry can take them.
+func TestDrain(t *testing.T) {
+	_, e1, e2, a := pair(t, nil)
+	first := e1.submitLater(ownedBy(t, "e1", "e1", "e2"), job(2))
+	a.waitHeld(2)
+	e1.stop()
+	eventually(t, "the entry is not ready", func() bool { return e1.Ready() == "draining" })
+	second := e2.submitLater(ownedBy(t, "e1", "e1", "e2"), job(2))
+	third := e1.submitLater(ownedBy(t, "e1", "e1", "e2"), job(2))
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, e2.members(), qt.Equals, 2)
+	a.finish("e1")
+	r := <-first
+	qt.Assert(t, r.code, qt.Equals, 200, qt.Commentf("%+v", r.answer))
+	a.waitHeld(4)
+	a.finish("e2")
+	for _, ch := range []<-chan submitted{second, third} {
+		r = <-ch
+		qt.Assert(t, r.code, qt.Equals, 200, qt.Commentf("%+v", r.answer))
+	}
+	qt.Assert(t, e2.members(), qt.Equals, 1)
+	err := <-e1.ended
+	e1.ended <- err
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// Guards against a removed entry that starts tasks, claims that a key has not
+// run, or interrupts what it started.
+func TestRemovedWhileAlive(t *testing.T) {
+	c, e1, e2, a := pair(t, nil)
+	first := e1.submitLater(ownedBy(t, "e1", "e1", "e2"), job(2))
+	a.waitHeld(2)
+	_, err := e2.updateRoster(context.Background(), func(r *ownership.Roster, op string) *ownership.Roster {
+		return r.Remove(e1.Incarnation(), time.Now(), op)
+	})
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "the entry knows that it was removed", func() bool {
+		removed, _ := ask(context.Background(), e1.Entry, func(c *core) bool { return c.removed })
+		return removed
+	})
+	a.finish("e1")
+	r := <-first
+	qt.Assert(t, r.code, qt.Equals, 200, qt.Commentf("%+v", r.answer))
+	err = <-e1.ended
+	e1.ended <- err
+	qt.Assert(t, errors.Is(err, ErrRemoved), qt.IsTrue, qt.Commentf("%v", err))
+	again := c.start("e1")
+	a.connect(again, "")
+	eventually(t, "the new incarnation is a member", func() bool { return e2.members() == 2 && again.members() == 2 })
+	later := again.submitLater(ownedBy(t, "e1", "e1", "e2"), job(1))
+	a.waitHeld(1)
+	a.finish("e1")
+	qt.Assert(t, (<-later).code, qt.Equals, 200)
+}
+
+// Guards against an entry that serves before it knows the roster, joins twice
+// after a lost reply, or stops serving when the platform goes away.
+func TestPlatformFaults(t *testing.T) {
+	c := newCluster(t)
+	c.platform.SetFaults(standin.PlatformFaults{LoseReplies: 1})
+	n := c.start("e1")
+	r, err := n.readRoster(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Members, qt.HasLen, 1)
+	a := c.agent("w1", 11, ok)
+	a.connect(n, "")
+	c.platform.SetFaults(standin.PlatformFaults{Unavailable: true})
+	eventually(t, "the entry notices", func() bool { return !n.Status(context.Background()).PlatformReachable })
+	code, _ := n.submit(newKey(t), job(1))
+	qt.Assert(t, code, qt.Equals, 200)
+	c.platform.SetFaults(standin.PlatformFaults{})
+}
+
+// Guards against a second configuration that does not reach entries and agents,
+// or an older one that comes back.
+func TestConfigurationReachesAgents(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, ok)
+	a.connect(n, "")
+	row, err := c.platform.Get(context.Background(), platform.RowConfig)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.platform.CompareAndSet(context.Background(), platform.RowConfig, row.Version, drained(t, row.Value))
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "the agent has version 2", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.config.Version == 2 && a.config.Drain
+	})
+	w := n.Workers(context.Background())
+	qt.Assert(t, w, qt.HasLen, 1)
+	qt.Assert(t, w[0].Drained, qt.IsTrue)
+	code, ans := n.submit(newKey(t), job(1))
+	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanNo})
+}
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -193,6 +193,7 @@
 	closes int
 	// keyless makes the agent ignore requests to close a key.
 	keyless bool
+	config  wire.WorkerConfig
 }
 
 func (c *cluster) agent(worker string, incarnation uint64, run func(*wire.Start) *wire.Result) *fakeAgent {
@@ -252,6 +253,8 @@
 		switch m := m.(type) {
 		case *wire.RosterUpdate:
 			a.adopt(m.Roster)
+		case *wire.WorkerConfig:
+			a.config = *m
 		case *wire.Start:
 			a.start(conn, m)
 		case *wire.Settle:
@@ -359,3 +362,15 @@
 	}
 	return len(a.runs), most
 }
+
+// drained returns the configuration with the next version, in which w1 is
+// drained.
+func drained(t *testing.T, value []byte) []byte {
+	c, err := config.Decode(value)
+	qt.Assert(t, err, qt.IsNil)
+	c.Version++
+	c.Workers[0].Drain = true
+	b, err := config.Encode(c)
+	qt.Assert(t, err, qt.IsNil)
+	return b
+}
