Keep requests of callers apart from agents' messages; finish forwarded requests

Cause: a flood of requests could delay results in the shared queue; a drain cut off requests that another entry was still answering; a second process with the same name would have fought over the roster. Change: a request queue of its own (1024), a shutdown that waits for requests in progress up to the drain timeout, ErrReplaced, a missing roster row is an error. Ruled out: one queue with priorities.

--- a/entry/core.go
+++ b/entry/core.go
@@ -99,6 +99,10 @@
 			c.turn()
 			c.handle(ev)
 			c.drainEvents()
+		case r := <-e.requests:
+			c.turn()
+			c.request(r)
+			c.drainRequests()
 		case <-ticker.C:
 			c.turn()
 			c.tick()
@@ -118,6 +122,17 @@
 	}
 }
 
+func (c *core) drainRequests() {
+	for range eventBatch {
+		select {
+		case r := <-c.e.requests:
+			c.request(r)
+		default:
+			return
+		}
+	}
+}
+
 // turn notices that the process was paused.
 func (c *core) turn() {
 	now := c.e.clock.now()
@@ -154,7 +169,7 @@
 		}
 		c.gauges()
 	}
-	if c.draining && !c.leaving && c.jobs.Running() == 0 && len(c.blocked) == 0 && len(c.closing) == 0 {
+	if c.draining && !c.leaving && c.jobs.Running() == 0 && len(c.closing) == 0 {
 		c.leaving = true
 		close(c.e.drained)
 	}
@@ -178,16 +193,6 @@
 	}
 }
 
-// tryPost is post without a wait; false means that the queue is full.
-func (e *Entry) tryPost(f func(c *core)) bool {
-	select {
-	case e.events <- event{do: f}:
-		return true
-	default:
-		return false
-	}
-}
-
 // ask runs f in the core loop and returns its result. The second result is
 // false when ctx ends first.
 func ask[T any](ctx context.Context, e *Entry, f func(c *core) T) (T, bool) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -130,39 +130,43 @@
 		if !ok {
 			return
 		}
-		c.start(api.Key(key), task, now)
+		if !c.start(api.Key(key), task, now) {
+			return
+		}
 	}
 }
 
-// start sends one task to the best agent.
-func (c *core) start(key api.Key, task uint16, now time.Time) {
+// start sends one task to the best agent. It returns false when no agent was
+// found although there is room, as the random policies may do.
+func (c *core) start(key api.Key, task uint16, now time.Time) bool {
 	j, a := c.jobs.Job(key), c.active[key]
 	if j == nil || a == nil {
-		return
+		return true
 	}
 	sub := j.Submission
 	c.unqueue(sub.Service, sub.Team, 1)
 	id, ok := c.placement.Pick(sub.Service, a.class, now)
 	if !ok {
 		c.enqueue(key, task)
-		return
+		return false
 	}
 	f := flight{service: sub.Service, typ: sub.Type, class: a.class, reserved: true}
 	ag := c.agents[id]
 	if c.jobs.Start(key, task, id) == nil {
 		c.unreserve(id, f, now)
-		return
+		return true
 	}
 	if ag == nil || ag.conn == nil || ag.conn.Send(c.startMessage(j, a, task, id, now)) != nil {
 		c.unreserve(id, f, now)
 		c.again(c.jobs.NotSent(key, task, id))
-		return
+		return true
 	}
 	ag.conn.Expect(1)
 	ag.flights[flightKey{key, task}] = f
 	c.retries.started()
 	a.counters.starts.Inc(1)
 	a.counters.wait.RecordDuration(now.Sub(j.Arrived))
+	return true
 }
 
 func (c *core) unreserve(id uint64, f flight, now time.Time) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,8 +37,13 @@
 	// eventQueue is the capacity of the queue of the core loop. It holds the
 	// events of several of the largest jobs.
 	eventQueue = 4096
-	// httpShutdown bounds the time for writing the last answers.
-	httpShutdown = 2 * time.Second
+	// requestQueue is the capacity of the queue of requests. The core loop
+	// handles a request in some 10 µs, so that a full queue is a wait of 10 ms.
+	requestQueue = 1024
+	// answerTime is the least time for writing the last answers.
+	answerTime = 2 * time.Second
+	// peerGrace lets the last replies to peers leave before connections close.
+	peerGrace = 100 * time.Millisecond
 	// leaveTimeout bounds the write that removes this entry from the roster.
 	leaveTimeout = 5 * time.Second
 )
@@ -47,6 +52,10 @@
 // from the roster. A new Entry with the same options may take its place.
 var ErrRemoved = errors.New("this entry was removed from the roster by its peers")
 
+// ErrReplaced is returned by Run when another process with the same name has
+// taken the place of this one in the roster.
+var ErrReplaced = errors.New("another entry with the same name has joined the roster; names must be unique")
+
 // Entry is one incarnation of an entry. Its exported methods are safe for
 // concurrent use; Run is called once.
 type Entry struct {
@@ -59,6 +68,7 @@
 	ingress  *ingress.Server
 	config   config.Holder
 	events   chan event
+	requests chan *request
 	metrics  *metrics
 	verdicts chan verdictLine
 	peers    peers
@@ -67,6 +77,9 @@
 	health   platformHealth
 	drained  chan struct{}
 	removed  chan struct{}
+	replaced atomic.Bool
+	// forwarded is the number of requests of peers in progress.
+	forwarded atomic.Int64
 }
 
 // clock gives times that follow the monotonic clock from one reading of the
@@ -89,7 +102,7 @@
 	}
 	e := &Entry{
 		o: o, log: o.Log.WithField("entry", s.Name), clock: clock{time.Now()}, listener: l, http: h,
-		events: make(chan event, eventQueue), metrics: newMetrics(o.Metrics),
+		events: make(chan event, eventQueue), requests: make(chan *request, requestQueue), metrics: newMetrics(o.Metrics),
 		verdicts: make(chan verdictLine, eventQueue),
 		drained:  make(chan struct{}), removed: make(chan struct{}),
 	}
@@ -133,27 +146,42 @@
 		}
 		return nil
 	})
-	removed := false
 	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			e.drain(work)
-		case <-e.removed:
-			removed = true
-		case <-work.Done():
-		}
-		end, cancel := context.WithTimeout(context.Background(), httpShutdown)
-		defer cancel()
-		_ = server.Shutdown(end)
+		err := e.untilEnd(ctx, work, server)
 		stop()
 		_ = e.listener.Close()
-		return nil
+		return err
 	})
-	err := g.Wait()
-	if err == nil && removed {
-		return ErrRemoved
+	return g.Wait()
+}
+
+// untilEnd waits for the end of the service and lets the requests in progress
+// finish, including those that other entries answer.
+func (e *Entry) untilEnd(ctx, work context.Context, server *http.Server) error {
+	var result error
+	began := time.Now()
+	select {
+	case <-ctx.Done():
+		began = time.Now()
+		e.drain(work)
+	case <-e.removed:
+		began, result = time.Now(), ErrRemoved
+		if e.replaced.Load() {
+			result = ErrReplaced
+		}
+	case <-work.Done():
+	}
+	left := max(answerTime, e.o.Settings.DrainTimeout()-time.Since(began))
+	if work.Err() != nil {
+		left = answerTime
+	}
+	end, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	_ = server.Shutdown(end)
+	for e.forwarded.Load() > 0 && sleepFor(end, peerGrace/10) {
 	}
-	return err
+	sleepFor(end, peerGrace)
+	return result
 }
 
 // drain waits for the jobs in progress and leaves the roster.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 // Guards against an answer that is not whole or not in task order.
 func TestWholeJob(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	a := c.agent("w1", 11, ok)
@@ -36,6 +37,7 @@
 // Guards against a task that is lost or starts twice when an agent has no slot,
 // and against results that reach the wrong task.
 func TestBusyAndCrossedResults(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	refused := map[string]bool{}
@@ -65,6 +67,7 @@
 // Guards against a second run, or a partial answer, when an agent is lost with
 // started tasks.
 func TestAgentKilled(t *testing.T) {
+	t.Parallel()
 	for _, restarted := range []bool{false, true} {
 		t.Run(fmt.Sprintf("restarted %v", restarted), func(t *testing.T) {
 			c := newCluster(t)
@@ -134,6 +137,7 @@
 // Guards against a job that hangs or runs twice when the connection to its
 // agent becomes silent while new connections work.
 func TestSilentConnection(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	a := c.agent("w1", 11, nil)
@@ -152,6 +156,7 @@
 
 // Guards against results that were lost with a silent connection.
 func TestResultLostWithConnection(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	a := c.agent("w1", 11, nil)
@@ -176,6 +181,7 @@
 // Guards against a cancellation or deadline that gives a second or partial
 // answer, or a wrong ran.
 func TestCancelAndDeadline(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name     string
 		agent    bool
@@ -217,6 +223,7 @@
 // Guards against a job that runs twice because its caller sent it twice, and
 // against teams that see each other's jobs.
 func TestSameKey(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	a := c.agent("w1", 11, nil)
@@ -247,6 +254,7 @@
 // Guards against a refusal whose status, reason or ran is wrong, and against one
 // that says "not run" before an agent has closed the key.
 func TestRefusals(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	n := c.start("e1")
 	a := c.agent("w1", 11, ok)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -315,6 +315,8 @@
 	if json.Unmarshal(m.Submission, &sub) != nil {
 		return nil
 	}
+	p.e.forwarded.Add(1)
+	defer p.e.forwarded.Add(-1)
 	ctx, span := p.e.o.Tracer.Start(telemetry.WithTraceparent(ctx, m.Trace), "forwarded")
 	defer span.End()
 	r := &request{op: m.Op, key: m.Key, team: sub.Team, wait: m.Wait, peer: true, ctx: ctx}
--- a/entry/request.go
+++ b/entry/request.go
@@ -96,13 +96,13 @@
 	if s.DeadlineMS != 0 {
 		return time.Duration(max(0, s.DeadlineMS)) * time.Millisecond
 	}
-	if cfg := e.config.Current(); cfg != nil {
-		for _, v := range cfg.Services {
-			for _, t := range v.Types {
-				if v.Name == s.Service && t.Name == s.Type && t.DeadlineMS > 0 {
-					return time.Duration(t.DeadlineMS) * time.Millisecond
-				}
-			}
+	cfg := e.config.Current()
+	if cfg == nil {
+		return defaultDeadline
+	}
+	if v, ok := cfg.Service(s.Service); ok {
+		if t, ok := v.Type(s.Type); ok && t.DeadlineMS > 0 {
+			return min(time.Duration(t.DeadlineMS)*time.Millisecond, api.MaxDeadline)
 		}
 	}
 	return defaultDeadline
@@ -129,7 +129,9 @@
 // local puts a request to the core loop and waits for its reply.
 func (e *Entry) local(ctx context.Context, r *request) (reply, bool) {
 	r.reply = make(chan reply, 1)
-	if !e.tryPost(func(c *core) { c.request(r) }) {
+	select {
+	case e.requests <- r:
+	default:
 		// Without the core loop no tombstone can close the key.
 		v := api.Fail(api.RanMaybe, api.ReasonOverload, "the entry has too many requests in progress")
 		v.RetryAfter = 100 * time.Millisecond
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -83,6 +83,9 @@
 		return err
 	}
 	if _, ok := r.Find(e.self.Incarnation); !ok {
+		if *joined && r == nil {
+			return errors.New("the roster is gone from the platform")
+		}
 		if *joined {
 			e.post(ctx, func(c *core) { c.onRemoved(r) })
 			return nil
@@ -314,8 +317,13 @@
 	if c.draining || c.removed {
 		return
 	}
-	c.e.log.Warn("this entry was removed from the roster; it finishes what it started and joins again")
+	c.e.log.Warn("this entry was removed from the roster; it finishes what it started and ends")
 	c.removed, c.suspect = true, true
+	for _, m := range r.Members {
+		if m.Name == c.e.self.Name {
+			c.e.replaced.Store(true)
+		}
+	}
 	c.e.notReady.Store("removed from the roster by the other entries")
 	c.adopt(r)
 	c.failWaiting()
