--- /dev/null
+++ b/bench/slope/entry.go
@@ -0,0 +1,103 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/client"
+	"github.com/sesamelift/sesamelift/transport"
+)
+
+// settle lets a process finish what a change of load set off.
+const settleTime = 2 * time.Second
+
+// EntryOptions configures MeasureEntry.
+type EntryOptions struct {
+	PID                        int
+	Peer, Callers              string
+	Certs, Token               string
+	Service, Type, Team        string
+	Agents, Slots, TasksPerJob int
+	JobsPerSecond              int
+	RunTime, Duration          time.Duration
+}
+
+// EntryReport is the cost of an entry.
+type EntryReport struct {
+	Agents        int   `json:"agents"`
+	TasksPerJob   int   `json:"tasks_per_job"`
+	JobsPerSecond int   `json:"jobs_per_second"`
+	Start         phase `json:"without_agents"`
+	Idle          phase `json:"idle"`
+	Load          phase `json:"load"`
+}
+
+// MeasureEntry connects agents to an entry, measures it idle, then under jobs.
+func MeasureEntry(ctx context.Context, o EntryOptions) (*EntryReport, error) {
+	creds, err := transport.LoadCredentials(transport.DevFiles(o.Certs, transport.RoleAgent))
+	if err != nil {
+		return nil, err
+	}
+	r := &EntryReport{Agents: o.Agents, TasksPerJob: o.TasksPerJob, JobsPerSecond: o.JobsPerSecond}
+	if r.Start, err = measure(o.PID, func() traffic { return traffic{} }, func() { time.Sleep(settleTime) }); err != nil {
+		return nil, err
+	}
+	a, err := dialAgents(ctx, o.Peer, o.Service, o.Agents, o.Slots, o.RunTime, creds)
+	if err != nil {
+		return nil, err
+	}
+	defer a.close()
+	time.Sleep(settleTime)
+	if r.Idle, err = measure(o.PID, a.traffic, func() { time.Sleep(o.Duration) }); err != nil {
+		return nil, err
+	}
+	var l load
+	r.Load, err = measure(o.PID, a.traffic, func() { l.run(ctx, o) })
+	r.Load.perTask(l.tasks.Load(), l.failed.Load())
+	return r, err
+}
+
+// load submits jobs at a fixed rate.
+type load struct{ tasks, failed atomic.Int64 }
+
+func (l *load) run(ctx context.Context, o EntryOptions) {
+	c := client.New([]string{o.Callers}, o.Token)
+	s := &api.Submission{Service: o.Service, Type: o.Type, Team: o.Team, DeadlineMS: 30000}
+	for range o.TasksPerJob {
+		s.Tasks = append(s.Tasks, json.RawMessage(`{"cleft":"C-1000","work_ms":60}`))
+	}
+	var wg sync.WaitGroup
+	tick := time.NewTicker(time.Second / time.Duration(o.JobsPerSecond))
+	defer tick.Stop()
+	for range int(o.Duration.Seconds()) * o.JobsPerSecond {
+		<-tick.C
+		wg.Go(func() {
+			if err := submit(ctx, c, s); err != nil {
+				l.failed.Add(1)
+				return
+			}
+			l.tasks.Add(int64(len(s.Tasks)))
+		})
+	}
+	wg.Wait()
+}
+
+func submit(ctx context.Context, c *client.Client, s *api.Submission) error {
+	key, err := api.NewKey()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	a, err := c.Submit(ctx, key, s)
+	if err == nil && a.Verdict != api.Complete {
+		err = errors.Errorf("%s: %s", a.Reason, a.Message)
+	}
+	return err
+}
--- a/cli/external.go
+++ b/cli/external.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/sesamelift/sesamelift/bench"
+	"github.com/sesamelift/sesamelift/bench/slope"
 	sheetcli "github.com/sesamelift/sesamelift/sheet/cli"
 	standincli "github.com/sesamelift/sesamelift/standin/cli"
 )
@@ -23,6 +24,7 @@
 	return []external{
 		{"sheet", "check, plan, apply and go back to sheets", sheetcli.Command},
 		{"bench", "run a load scenario on loopback", bench.Command},
+		{"slope", "measure a running entry or agent for the capacity page", slope.Command},
 		{"standin", "run a stand-in of the platform or of a backend server", standincli.Command},
 	}
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -147,6 +147,13 @@
 	return c.sent.Load(), c.received.Load(), c.probes.Load()
 }
 
+// Bytes returns the UDP payload bytes sent and received, with handshake,
+// acknowledgements and keep-alives.
+func (c *Conn) Bytes() (sent, received uint64) {
+	s := c.quic.ConnectionStats()
+	return s.BytesSent, s.BytesReceived
+}
+
 // RemoteAddr returns the address of the peer.
 func (c *Conn) RemoteAddr() string { return c.quic.RemoteAddr().String() }
 
