Warn about workers of the sheet that no agent has registered

Cause: a misspelt worker name is a valid sheet. An entry lets a worker without a row run everything, so that a misspelt row that drains has no effect.

Change: plan and apply compare the workers with the registrations and warn about both sides, with the nearest name.

Ruled out: a fault, since a sheet may be applied before its hosts start.

Conclusion: the operator sees the slip before it matters.

--- a/sheet/apply_test.go
+++ b/sheet/apply_test.go
@@ -253,3 +253,26 @@
 		})
 	}
 }
+
+// Guards against a misspelt worker that a sheet drains without effect.
+func TestCheckWorkers(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	stand := newPlatform(c)
+	cfg := withQuota(c, 400, "")
+	cfg.Workers[1].Name = "abay-2"
+	warnings, err := CheckWorkers(ctx, stand, cfg)
+	c.Assert(err, qt.IsNil)
+	c.Assert(warnings, qt.HasLen, 0)
+	for _, r := range []ownership.Registration{{Worker: "abay-01"}, {Worker: "abay-02"}, {Worker: "abay-77", LeftAt: time.Now()}} {
+		value, err := json.Marshal(r)
+		c.Assert(err, qt.IsNil)
+		_, err = stand.CompareAndSet(ctx, platform.PrefixAgents+r.Worker, 0, value)
+		c.Assert(err, qt.IsNil)
+	}
+	warnings, err = CheckWorkers(ctx, stand, cfg)
+	c.Assert(err, qt.IsNil)
+	c.Assert(warnings, qt.DeepEquals, []string{
+		"no agent is registered for abay-2 (did you mean abay-02?)",
+		"these workers have no row in the sheet and may run every service they announce: abay-02",
+	})
+}
--- a/sheet/cli/commands.go
+++ b/sheet/cli/commands.go
@@ -64,6 +64,11 @@
 		version = current.Version
 	}
 	d := sheet.Plan(current, next)
+	warnings, err := sheet.CheckWorkers(ctx, p, next)
+	if err != nil {
+		return err
+	}
+	d.Warnings = append(d.Warnings, warnings...)
 	if c.json {
 		return c.printJSON(struct {
 			Base uint64 `json:"base"`
@@ -96,6 +101,10 @@
 	if err != nil {
 		return err
 	}
+	// The change is made; what cannot be read now is no failure of it.
+	if warnings, err := sheet.CheckWorkers(ctx, p, next); err == nil {
+		result.Difference.Warnings = append(result.Difference.Warnings, warnings...)
+	}
 	return c.finish(ctx, p, result)
 }
 
@@ -154,6 +163,9 @@
 	var b strings.Builder
 	if r.Unchanged {
 		fmt.Fprintf(&b, "version %d has this content already; nothing was changed\n", r.Version)
+		for _, w := range r.Difference.Warnings {
+			fmt.Fprintf(&b, "warning: %s\n", w)
+		}
 	} else {
 		fmt.Fprintf(&b, "version %d is accepted\n%s", r.Version, r.Difference)
 	}
