--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -73,7 +73,15 @@
 	ended chan error
 }
 
+// start runs an entry until it is ready.
 func (c *cluster) start(name string) *node {
+	c.t.Helper()
+	n := c.launch(name)
+	eventually(c.t, "the entry is ready", func() bool { return n.Ready() == "" })
+	return n
+}
+
+func (c *cluster) launch(name string) *node {
 	c.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -101,7 +109,6 @@
 			c.t.Error("the entry did not stop")
 		}
 	})
-	eventually(c.t, "the entry is ready", func() bool { return e.Ready() == "" })
 	return n
 }
 
@@ -193,6 +200,7 @@
 	closes int
 	// keyless makes the agent ignore requests to close a key.
 	keyless bool
+	config  wire.WorkerConfig
 }
 
 func (c *cluster) agent(worker string, incarnation uint64, run func(*wire.Start) *wire.Result) *fakeAgent {
@@ -252,6 +260,8 @@
 		switch m := m.(type) {
 		case *wire.RosterUpdate:
 			a.adopt(m.Roster)
+		case *wire.WorkerConfig:
+			a.config = *m
 		case *wire.Start:
 			a.start(conn, m)
 		case *wire.Settle:
@@ -359,3 +369,15 @@
 	}
 	return len(a.runs), most
 }
+
+// drained returns the configuration with the next version, in which w1 is
+// drained.
+func drained(t *testing.T, value []byte) []byte {
+	c, err := config.Decode(value)
+	qt.Assert(t, err, qt.IsNil)
+	c.Version++
+	c.Workers[0].Drain = true
+	b, err := config.Encode(c)
+	qt.Assert(t, err, qt.IsNil)
+	return b
+}
