Bound results of running jobs; try the next agent at once when one cannot close a key

Cause: results of unfinished jobs were not counted against the memory bound; an agent whose ledger was full held a refusal back for 15 ms.

--- a/entry/close.go
+++ b/entry/close.go
@@ -76,18 +76,29 @@
 // closed handles the answer of an agent.
 func (c *core) closed(agent uint64, m *wire.Settled) {
 	cl := c.closing[m.Key]
-	if cl != nil && cl.asked[agent] && m.State == wire.StateClosed {
+	switch {
+	case cl == nil || !cl.asked[agent]:
+	case m.State == wire.StateClosed:
 		cl.deliver()
+	default:
+		c.closeNext(cl)
 	}
 }
 
-// closeLate asks another agent, or changes the answer to maybe.
+// closeNext asks another agent, or changes the answer to maybe.
+func (c *core) closeNext(cl *closing) {
+	if len(cl.asked) < closeAttempts && c.askClose(cl) {
+		return
+	}
+	doubt(cl.answer, c.jobs.Idempotent(cl.answer.Key))
+	cl.deliver()
+}
+
+// closeLate handles agents that have not answered in time.
 func (c *core) closeLate(now time.Time) {
 	for _, cl := range c.closing {
-		if now.Before(cl.until) || len(cl.asked) < closeAttempts && c.askClose(cl) {
-			continue
+		if !now.Before(cl.until) {
+			c.closeNext(cl)
 		}
-		doubt(cl.answer, c.jobs.Idempotent(cl.answer.Key))
-		cl.deliver()
 	}
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,9 +15,10 @@
 	"github.com/sesamelift/sesamelift/wire"
 )
 
-// maxBodyBytes bounds the bodies of the jobs in progress, in bytes. The largest
-// queue of tasks of 12 kB fits.
-const maxBodyBytes = 256 << 20
+// maxRunningBytes is the size of the bodies and results of the jobs in progress
+// from which new jobs are refused, in bytes. A full queue of 20,000 tasks with
+// bodies of 12 kB fits.
+const maxRunningBytes = 256 << 20
 
 // activeJob is what the core loop holds for a job in progress besides the job
 // table.
@@ -86,8 +87,8 @@
 	if v := c.checkType(s); v != nil {
 		return v, class
 	}
-	if c.jobs.BodyBytes() > maxBodyBytes {
-		v := api.Refuse(api.ReasonOverload, "the jobs in progress use all memory for task bodies")
+	if c.jobs.RunningBytes() > maxRunningBytes {
+		v := api.Refuse(api.ReasonOverload, "the jobs in progress use all memory for bodies and results")
 		v.RetryAfter = time.Second
 		return v, class
 	}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -24,7 +24,8 @@
 	// kept lists the keys of complete answers, oldest first.
 	kept      []api.Key
 	keptBytes int
-	bodyBytes int
+	// runningBytes is the size of the bodies and results of running jobs.
+	runningBytes int
 }
 
 // record is what the table knows of a key.
@@ -54,8 +55,9 @@
 // Running returns the number of jobs without a verdict.
 func (t *Table) Running() int { return t.running }
 
-// BodyBytes returns the size of the bodies of running jobs, in bytes.
-func (t *Table) BodyBytes() int { return t.bodyBytes }
+// RunningBytes returns the size of the bodies and results of running jobs, in
+// bytes.
+func (t *Table) RunningBytes() int { return t.runningBytes }
 
 // Full reports whether no further key can be remembered.
 func (t *Table) Full() bool { return len(t.records) >= t.o.MaxKeys }
@@ -175,7 +177,7 @@
 	}
 	t.records[n.Key] = &record{digest: n.Digest, team: n.Submission.Team, idempotent: n.Submission.Idempotent, job: j}
 	t.running++
-	t.bodyBytes += j.bytes
+	t.runningBytes += j.bytes
 	t.expireLater(n.Key)
 	heap.Push(&t.deadlines, deadline{j.Deadline, n.Key})
 	return t.begin(j, n)
--- a/jobs/tasks.go
+++ b/jobs/tasks.go
@@ -168,6 +168,8 @@
 	}
 	t.release(j, n)
 	j.tasks[n] = task{state: finished, ran: api.RanYes, result: body}
+	j.bytes += len(body)
+	t.runningBytes += len(body)
 	if j.finished++; j.finished < len(j.tasks) {
 		return nil
 	}
@@ -214,7 +216,7 @@
 func (t *Table) close(j *Job, a *api.Answer) {
 	j.done = true
 	t.running--
-	t.bodyBytes -= j.bytes
+	t.runningBytes -= j.bytes
 	r := t.records[j.Key]
 	r.job, r.answer = nil, a
 }
