Use the platform stand-in in the agent's tests

Change: the agent's tests use standin.Platform. A handler in the backend tests ends with its request, so that a failed assertion does not leave the test hanging.

Conclusion: less test code, same checks.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -16,6 +16,7 @@
 	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/standin"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -59,9 +60,8 @@
 // registration that is written twice or not at all when a reply is lost.
 func TestAgentWithoutPlatformWaits(t *testing.T) {
 	r := newRig(t)
-	r.platform.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
-	r.platform.setDown(true)
-	r.platform.loseReply = true
+	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.platform.SetFaults(standin.PlatformFaults{Unavailable: true})
 	r.run()
 	time.Sleep(300 * time.Millisecond)
 	qt.Assert(t, len(r.entry.hellos), qt.Equals, 0)
@@ -69,15 +69,16 @@
 	qt.Assert(t, err, qt.IsNil)
 	_ = res.Body.Close()
 	qt.Assert(t, res.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	r.platform.setDown(false)
+	before := r.platform.Counts().Writes
+	r.platform.SetFaults(standin.PlatformFaults{LoseReplies: 1})
 	h := r.entry.connected()
-	reg := r.platform.registration(t)
+	reg := r.registration()
 	qt.Assert(t, reg.Incarnation, qt.Equals, h.Incarnation)
 	qt.Assert(t, reg.ReplacedAt.IsZero(), qt.IsFalse)
-	qt.Assert(t, r.platform.writes, qt.Equals, 1)
+	qt.Assert(t, r.platform.Counts().Writes-before, qt.Equals, 1)
 	r.stop()
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsFalse)
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsFalse)
 }
 
 // Guards against a task that runs after a settle has closed it, before it
@@ -257,7 +258,7 @@
 	r := newRig(t)
 	relay := newRelay(t, r.entry.listener.Addr())
 	roster := &ownership.Roster{Members: []ownership.Member{{Name: "e1", Incarnation: 101, PeerAddr: relay.addr()}}}
-	r.platform.put(platform.RowRoster, roster)
+	r.put(platform.RowRoster, roster)
 	r.ready()
 	k := r.key()
 	r.entry.start(k, 0, `"wait"`)
@@ -342,13 +343,13 @@
 	}
 	r.entry.start(k, 50, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsTrue, qt.Commentf("it still runs tasks"))
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsTrue, qt.Commentf("it still runs tasks"))
 	close(r.backend.release)
 	for range 10 {
 		qt.Assert(t, next[*wire.Result](r.entry).Outcome, qt.Equals, wire.OutcomeOK)
 	}
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsFalse)
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsFalse)
 }
 
 // Guards against a drain that never ends, or that claims that a task which it
@@ -420,13 +421,13 @@
 func TestReplacedAgentTakesNoTasks(t *testing.T) {
 	r := newRig(t)
 	r.ready()
-	r.platform.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
 	r.agent.checkRegistration(context.Background())
 	r.entry.start(r.key(), 0, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
 	r.stop()
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsTrue, qt.Commentf("the row of the other incarnation was changed"))
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsTrue, qt.Commentf("the row of the other incarnation was changed"))
 }
 
 // Guards against agents that choose the same entries, or change more of their
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/standin"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
@@ -27,80 +28,6 @@
 // wait is the longest that a test waits for something that must happen.
 const wait = 10 * time.Second
 
-// memPlatform is a table in memory that can be unavailable or lose a reply.
-type memPlatform struct {
-	platform.Objects
-	mu        sync.Mutex
-	rows      map[string]platform.Row
-	down      bool
-	loseReply bool
-	writes    int
-}
-
-func newMemPlatform() *memPlatform { return &memPlatform{rows: map[string]platform.Row{}} }
-
-func (p *memPlatform) setDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
-}
-
-func (p *memPlatform) Get(_ context.Context, key string) (platform.Row, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, ok := p.rows[key]
-	switch {
-	case p.down:
-		return r, platform.ErrUnavailable
-	case !ok:
-		return r, platform.ErrNotFound
-	}
-	return r, nil
-}
-
-func (p *memPlatform) List(context.Context, string) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
-}
-
-func (p *memPlatform) CompareAndSet(_ context.Context, key string, want uint64, value []byte) (platform.Row, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.down {
-		return platform.Row{}, platform.ErrUnavailable
-	}
-	if p.rows[key].Version != want {
-		return platform.Row{}, &platform.ConflictError{Key: key, Want: want, Current: p.rows[key]}
-	}
-	p.writes++
-	r := platform.Row{Key: key, Version: want + 1, Value: value}
-	p.rows[key] = r
-	if p.loseReply {
-		p.loseReply = false
-		return platform.Row{}, &platform.DoubtError{Key: key, Cause: io.ErrUnexpectedEOF}
-	}
-	return r, nil
-}
-
-func (p *memPlatform) Delete(context.Context, string, uint64) error { return platform.ErrUnavailable }
-
-func (p *memPlatform) put(key string, v any) uint64 {
-	b, _ := json.Marshal(v)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	version := p.rows[key].Version + 1
-	p.rows[key] = platform.Row{Key: key, Version: version, Value: b}
-	return version
-}
-
-func (p *memPlatform) registration(t *testing.T) ownership.Registration {
-	t.Helper()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var r ownership.Registration
-	qt.Assert(t, json.Unmarshal(p.rows[platform.PrefixAgents+"w1"].Value, &r), qt.IsNil)
-	return r
-}
-
 // testBackend counts executions per task. Tasks whose body is "wait" end when
 // release is closed.
 type testBackend struct {
@@ -238,7 +165,7 @@
 type rig struct {
 	t        *testing.T
 	dir      string
-	platform *memPlatform
+	platform *standin.Platform
 	backend  *testBackend
 	entry    *testEntry
 	agent    *Agent
@@ -248,12 +175,33 @@
 	keys     uint64
 }
 
+func newPlatform(t *testing.T) *standin.Platform {
+	p, err := standin.NewPlatform(standin.PlatformOptions{})
+	qt.Assert(t, err, qt.IsNil)
+	return p
+}
+
+// put writes a row as another process would and returns its version.
+func (r *rig) put(key string, v any) uint64 {
+	r.t.Helper()
+	row, err := platform.Update(context.Background(), r.platform, key, "", func([]byte) ([]byte, error) { return json.Marshal(v) })
+	qt.Assert(r.t, err, qt.IsNil)
+	return row.Version
+}
+
+func (r *rig) registration() ownership.Registration {
+	r.t.Helper()
+	row, err := r.platform.Get(context.Background(), platform.PrefixAgents+"w1")
+	qt.Assert(r.t, err, qt.IsNil)
+	return parseRegistration(row.Value)
+}
+
 // newRig makes a rig whose agent does not run yet.
 func newRig(t *testing.T) *rig {
 	dir := t.TempDir()
 	qt.Assert(t, transport.WriteDevCertificates(dir), qt.IsNil)
 	r := &rig{
-		t: t, dir: dir, platform: newMemPlatform(), backend: newTestBackend(t), entry: newTestEntry(t, dir, 101),
+		t: t, dir: dir, platform: newPlatform(t), backend: newTestBackend(t), entry: newTestEntry(t, dir, 101),
 		ended: make(chan error, 1),
 		settings: &settings.Agent{
 			Name: "w1", Zone: "salalah-kiln", AnnounceAddress: "127.0.0.1:0", Slots: 2, LongSlots: 1, Hold: 2,
@@ -271,7 +219,7 @@
 			Name: "e" + string(rune('1'+i)), Incarnation: e.incarnation, PeerAddr: e.listener.Addr(),
 		})
 	}
-	roster.Version = r.platform.put(platform.RowRoster, roster)
+	roster.Version = r.put(platform.RowRoster, roster)
 	return roster
 }
 
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -180,11 +180,14 @@
 	var open, most atomic.Int64
 	release := make(chan struct{})
 	s := newServer(t, 3)
-	s.use(serve(t, func(w http.ResponseWriter, _ *http.Request) {
+	s.use(serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if n := open.Add(1); n > most.Load() {
 			most.Store(n)
 		}
-		<-release
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
 		open.Add(-1)
 		_, _ = io.WriteString(w, "1")
 	}))
