Let the order test wait for a full send ring

Cause: TestMessagesArriveInOrder ignored ErrRingFull; with the smaller ring it lost messages that were never queued.

Change: the sender repeats a refused message, so that the test again sees all 500 in order.

--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -105,7 +105,9 @@
 	const n = 500
 	go func() {
 		for i := range n {
-			_ = p.client.Send(&wire.Settle{Task: uint16(i)})
+			for p.client.Send(&wire.Settle{Task: uint16(i)}) == ErrRingFull {
+				time.Sleep(time.Millisecond)
+			}
 		}
 	}()
 	for i := range n {
