Keep a connection open when a refusal finds its send ring full

Cause: found by reading. A refusal closes its key at one agent; with a full send ring the whole connection was closed, and with it tasks came in doubt, just when there is overload.

Change: the next agent is asked instead; without one the answer says maybe.

Measured: go test -race ./entry passes; the burst itself has no test yet.

Conclusion: refusals do not disturb running tasks.

--- a/entry/close.go
+++ b/entry/close.go
@@ -67,8 +67,11 @@
 			continue
 		}
 		cl.asked[id], cl.until = true, c.now().Add(closeTimeout)
-		c.sendSettle(ag, cl.answer.Key, ledger.WholeJob, false, false)
-		return true
+		// A burst of refusals can fill a send ring; the connection carries tasks
+		// and stays open, and another agent is asked.
+		if c.trySettle(ag, &wire.Settle{Key: cl.answer.Key, Task: ledger.WholeJob, Owner: c.e.self.Incarnation}) {
+			return true
+		}
 	}
 	return false
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/jobs"
 	"github.com/sesamelift/sesamelift/placement"
+	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/queue"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -196,13 +197,19 @@
 }
 
 func (c *core) sendSettle(ag *agentState, key wire.Key, task uint16, stop, watch bool) {
-	err := ag.conn.Send(&wire.Settle{Key: key, Task: task, Owner: c.e.self.Incarnation, Stop: stop, Watch: watch})
-	if err != nil {
+	if !c.trySettle(ag, &wire.Settle{Key: key, Task: task, Owner: c.e.self.Incarnation, Stop: stop, Watch: watch}) {
 		// The tasks are settled on the next connection.
-		ag.conn.Close(err)
-		return
+		ag.conn.Close(transport.ErrRingFull)
+	}
+}
+
+// trySettle reports whether the message was queued.
+func (c *core) trySettle(ag *agentState, m *wire.Settle) bool {
+	if ag.conn.Send(m) != nil {
+		return false
 	}
 	ag.conn.Expect(1)
 	ag.settles++
 	c.e.metrics.settles.Inc(1)
+	return true
 }
