Resolve a crashed entry sooner; report a deadline that the agent sees first

Cause: after a removal, the list of agents was read at the next poll only and the other entries learned of it at their next ping; a ping waited 2 s for an answer. An agent that stopped at the deadline made the job task_failed. Change: a newer roster starts a poll and pings at once; a ping waits 1 s; the reason deadline becomes deadline_exceeded. Ruled out: fewer missed pings, which would remove entries that are only slow.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,7 +15,9 @@
 
 const (
 	pingInterval = 2 * time.Second
-	pingTimeout  = 2 * time.Second
+	// pingTimeout is far above the latency between zones. With the interval it
+	// gives 5 to 7 s until a peer is removed.
+	pingTimeout = time.Second
 	// missedPings is how many pings in a row a peer may miss.
 	missedPings = 3
 	dialRetry   = 200 * time.Millisecond
@@ -36,6 +38,8 @@
 type peer struct {
 	member ownership.Member
 	cancel context.CancelFunc
+	// kick asks for a ping at once.
+	kick chan struct{}
 
 	mu       sync.Mutex
 	conn     *transport.Conn
@@ -55,10 +59,14 @@
 	}
 }
 
-// set changes the members to connect to.
+// set changes the members to connect to, and pings the peers so that they see
+// the new version at once.
 func (p *peers) set(r *ownership.Roster) {
 	p.mu.Lock()
 	p.want = r
+	for _, l := range p.links {
+		signal(l.kick)
+	}
 	p.mu.Unlock()
 	signal(p.updates)
 }
@@ -85,7 +93,7 @@
 				continue
 			}
 			ctx, cancel := context.WithCancel(ctx)
-			l := &peer{member: m, cancel: cancel}
+			l := &peer{member: m, cancel: cancel, kick: make(chan struct{}, 1)}
 			p.links[m.Incarnation] = l
 			wg.Go(func() { p.linkLoop(ctx, l) })
 		}
@@ -155,6 +163,7 @@
 			return
 		case <-conn.Done():
 			return
+		case <-l.kick:
 		case <-time.After(pingInterval):
 		}
 	}
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -278,6 +278,8 @@
 		return
 	}
 	c.e.peers.set(r)
+	// The next poll reads the agents that have to fence who left.
+	signal(c.e.peers.changed)
 	c.setTeams()
 	for _, ag := range c.agents {
 		c.push(ag)
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -96,6 +96,12 @@
 			start(tb, 1, agentB)
 			return tb.Result(agentA, result(k, 0, wire.OutcomeFailed, wire.RanNo))
 		}, api.Failed, api.RanMaybe, api.ReasonTaskFailed, 1},
+		{"agent sees the deadline first", func(tb *Table) []Action {
+			start(tb, 0, agentA)
+			r := result(k, 0, wire.OutcomeFailed, wire.RanMaybe)
+			r.Reason = "deadline"
+			return tb.Result(agentA, r)
+		}, api.Failed, api.RanMaybe, api.ReasonDeadlineExceeded, 0},
 		{"the only start failed before it ran", func(tb *Table) []Action {
 			start(tb, 0, agentA)
 			return tb.Result(agentA, result(k, 0, wire.OutcomeFailed, wire.RanNo))
--- a/jobs/tasks.go
+++ b/jobs/tasks.go
@@ -50,9 +50,17 @@
 		j.tasks[m.Task].state = unknown
 		return []Action{{Kind: Settle, Key: j.Key, Task: m.Task, Agent: agent, Watch: true}}
 	}
+	if m.Reason == reasonDeadline {
+		return t.end(j, m.Task, ran, api.ReasonDeadlineExceeded, fmt.Sprintf("task %d did not end before the deadline", m.Task))
+	}
 	return t.end(j, m.Task, ran, api.ReasonTaskFailed, fmt.Sprintf("task %d failed: %s", m.Task, m.Reason))
 }
 
+// reasonDeadline is the Reason of a Result when the agent stopped waiting for
+// the backend server at the deadline, which may be just before the deadline
+// passes here.
+const reasonDeadline = "deadline"
+
 // Settled records the answer of an agent to a Settle.
 func (t *Table) Settled(agent uint64, m *wire.Settled) []Action {
 	j := t.at(m.Key, m.Task, agent)
