Follow the wall clock after a suspension; name workers that need attention

Cause: the monotonic clock stands still while a host is suspended, after which fresh keys would count as keys from the future until a restart. Change: the clock catches up with a wall clock that is ahead and never steps back; the status page names missing and ejected workers. Ruled out: reading the wall clock alone, since it may step back and accept a key that was already discarded.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/sesamelift/sesamelift/jobs"
 	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/placement"
@@ -124,7 +126,11 @@
 	if ag == nil || ag.conn != a.conn {
 		return
 	}
-	c.e.log.WithField("worker", ag.worker).WithField("agent", a.id).WithError(cause).Warn("agent connection is lost")
+	level := logrus.WarnLevel
+	if ag.load.Leaving && len(ag.flights) == 0 {
+		level = logrus.InfoLevel
+	}
+	c.e.log.WithField("worker", ag.worker).WithField("agent", a.id).WithError(cause).Log(level, "agent connection is lost")
 	c.e.metrics.agentsLost.Inc(1)
 	c.lose(ag, c.now())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,12 +82,6 @@
 	forwarded atomic.Int64
 }
 
-// clock gives times that follow the monotonic clock from one reading of the
-// wall clock, so that keys are discarded and refused by the same clock.
-type clock struct{ base time.Time }
-
-func (c clock) now() time.Time { return c.base.Add(time.Since(c.base)) }
-
 // New opens the listeners of an entry. Run serves them.
 func New(o Options) (*Entry, error) {
 	s := o.Settings
@@ -101,7 +95,7 @@
 		return nil, errors.Wrap(err, "listen for callers")
 	}
 	e := &Entry{
-		o: o, log: o.Log.WithField("entry", s.Name), clock: clock{time.Now()}, listener: l, http: h,
+		o: o, log: o.Log.WithField("entry", s.Name), clock: clock{base: time.Now()}, listener: l, http: h,
 		events: make(chan event, eventQueue), requests: make(chan *request, requestQueue), metrics: newMetrics(o.Metrics),
 		verdicts: make(chan verdictLine, eventQueue),
 		drained:  make(chan struct{}), removed: make(chan struct{}),
--- a/entry/status.go
+++ b/entry/status.go
@@ -66,12 +66,36 @@
 	slices.SortFunc(s.Queued, func(a, b ingress.Queued) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
 	})
+	s.WhatToDo = c.workerAdvice()
 	for _, f := range c.own.Pending().Fences {
 		s.Unresolved = append(s.Unresolved, ingress.Unresolved{Incarnation: f.Incarnation, Workers: f.Workers})
 	}
 	return s
 }
 
+// maxWorkerAdvice bounds the workers that are named, since an availability zone
+// may fail as a whole.
+const maxWorkerAdvice = 20
+
+// workerAdvice names workers that are missing or ejected.
+func (c *core) workerAdvice() []string {
+	var out []string
+	for _, w := range c.config.Workers {
+		if _, connected := c.workers[w.Name]; !connected && !w.Drain {
+			out = append(out, fmt.Sprintf("worker %s of the configuration is not connected: check its host and sesamelift-agent there, or drain it in the sheet", w.Name))
+		}
+	}
+	for _, st := range c.placement.Agents(c.now()) {
+		if st.Ejected {
+			out = append(out, fmt.Sprintf("worker %s gets no tasks for now (%s): check its backend server", st.Worker, st.Reason))
+		}
+	}
+	if n := len(out) - maxWorkerAdvice; n > 0 {
+		out = append(out[:maxWorkerAdvice], fmt.Sprintf("%d more workers need attention, see `sesamelift workers`", n))
+	}
+	return out
+}
+
 // Workers implements ingress.Service.
 func (e *Entry) Workers(ctx context.Context) []ingress.Worker {
 	w, _ := ask(ctx, e, func(c *core) []ingress.Worker { return c.workerList() })
