--- a/agent/core.go
+++ b/agent/core.go
@@ -189,10 +189,11 @@
 }
 
 // load returns the load for a message. An agent without a backend server that
-// works reports that it is leaving, so that entries send it nothing.
+// works, or without a service that it may serve, reports that it is leaving, so
+// that entries send it nothing.
 func (c *core) load() wire.Load {
 	l := c.slots.Load()
-	l.Leaving = c.leaving() || c.backend.Status != backend.Up
+	l.Leaving = c.leaving() || c.backend.Status != backend.Up || len(c.services()) == 0
 	l.ConfigVersion = c.config.Version
 	return l
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -20,10 +20,10 @@
 	roleAgent = transport.RoleAgent
 
 	// Backoff of dials. The first retry is quick, since a silent connection is
-	// replaced this way; the longest one bounds the dials of 890 agents at an
-	// entry that comes back.
+	// replaced this way. The longest one keeps the dials of 890 agents at an
+	// entry that comes back below 500 a second.
 	dialBackoffMin = 50 * time.Millisecond
-	dialBackoffMax = 5 * time.Second
+	dialBackoffMax = 2 * time.Second
 	// confirmTimeout bounds the wait for an entry to confirm the last results
 	// of a drain.
 	confirmTimeout = 500 * time.Millisecond
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -41,8 +41,7 @@
 	case slots.Held:
 		c.tasks[t.id()] = t
 	case slots.Busy:
-		c.a.metrics.busy.Inc(1)
-		c.send(l, &wire.Result{Key: s.Key, Task: s.Task, Outcome: wire.OutcomeBusy, Ran: wire.RanNo, Load: c.load()})
+		c.busy(l, s, "")
 		return
 	}
 	c.expectFrom(l)
@@ -73,10 +72,8 @@
 		}
 		return
 	}
-	c.drop(t)
-	for _, l := range c.audience(t) {
-		c.refuse(l, t.start, refusal)
-	}
+	c.slots.Done(t.start.Class)
+	c.refuseTask(t, refusal)
 }
 
 // hand gives a recorded task to a runner. The queue has room for one task per
@@ -313,13 +310,27 @@
 	}
 }
 
+// refuseTask answers a start that was held and does not run. One whose deadline
+// has passed found no slot in time, which says nothing against this agent.
 func (c *core) refuseTask(t *task, reason string) {
 	delete(c.tasks, t.id())
+	answer := c.refuse
+	if reason == reasonDeadline {
+		answer = c.busy
+	}
 	for _, l := range c.audience(t) {
-		c.refuse(l, t.start, reason)
+		answer(l, t.start, reason)
 	}
 }
 
+// busy answers a start that found no slot. There is no record of it.
+func (c *core) busy(l *link, s *wire.Start, reason string) {
+	c.a.metrics.busy.Inc(1)
+	c.send(l, &wire.Result{
+		Key: s.Key, Task: s.Task, Outcome: wire.OutcomeBusy, Ran: wire.RanNo, Reason: reason, Load: c.load(),
+	})
+}
+
 func (c *core) stopTasks() {
 	c.refuseHeld()
 	for _, t := range c.tasks {
