Draw the requests of the model test in any order

Cause: the model asked for handovers before fences, so a handover that did not cover a key was always repeated in time, and the test could not show the fault.

Change: askPending draws one of all open requests.

--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -350,47 +350,50 @@
 func (m *model) askPending(e *entry) {
 	r := e.state.Roster()
 	p := e.state.Pending()
-	type target struct {
-		incarnation uint64 // to fence
-		worker      string
-	}
-	var fences []target
-	for _, f := range p.Fences {
-		for _, w := range f.Workers {
-			fences = append(fences, target{f.Incarnation, w})
-		}
-	}
-	switch {
-	case p.ReadAgents:
-		if !m.cut(&e.process) {
+	var requests []func()
+	if p.ReadAgents && !m.cut(&e.process) {
+		requests = append(requests, func() {
 			// The rows are read now and arrive late, with the roster version that was
 			// known when the read began.
 			rows := slices.Collect(maps.Values(m.rows))
 			m.send(0, e.incarnation, func() { e.state.SetAgents(rows, r.Version) })
-		}
-	case len(p.Handovers) > 0:
-		to := p.Handovers[m.pick(len(p.Handovers))].Incarnation
-		m.send(e.incarnation, to, func() {
-			l := m.entry(to) // a message to an entry that ended is not delivered
-			l.state.Adopt(r, m.clock(&l.process))
-			owned := r.OwnedBy(e.name)
-			var keys []api.Key
-			for k := range l.jobs {
-				if owned(k) {
-					keys = append(keys, k)
-				}
-			}
-			m.send(to, e.incarnation, func() { e.state.HandoverDone(to, r.Version, keys) })
 		})
-	case len(fences) > 0:
-		f := fences[m.pick(len(fences))]
-		ask(m, e, m.incarnationAt(f.worker), func(a *agent) func() {
-			a.ledger.AdoptRoster(r.Version, r.Incarnations())
-			records := a.ledger.Records(f.incarnation, r.OwnedBy(e.name))
-			id := a.incarnation
-			return func() { e.state.FenceDone(f.incarnation, f.worker, id, r.Version, records) }
-		}, func(done func()) { done() })
 	}
+	for _, h := range p.Handovers {
+		requests = append(requests, func() { m.askHandover(e, h.Incarnation, r) })
+	}
+	for _, f := range p.Fences {
+		for _, w := range f.Workers {
+			requests = append(requests, func() { m.askFence(e, f.Incarnation, w, r) })
+		}
+	}
+	if len(requests) > 0 {
+		requests[m.pick(len(requests))]()
+	}
+}
+
+func (m *model) askHandover(e *entry, to uint64, r *ownership.Roster) {
+	m.send(e.incarnation, to, func() {
+		l := m.entry(to) // a message to an entry that ended is not delivered
+		l.state.Adopt(r, m.clock(&l.process))
+		owned := r.OwnedBy(e.name)
+		var keys []api.Key
+		for k := range l.jobs {
+			if owned(k) {
+				keys = append(keys, k)
+			}
+		}
+		m.send(to, e.incarnation, func() { e.state.HandoverDone(to, r.Version, keys) })
+	})
+}
+
+func (m *model) askFence(e *entry, incarnation uint64, worker string, r *ownership.Roster) {
+	ask(m, e, m.incarnationAt(worker), func(a *agent) func() {
+		a.ledger.AdoptRoster(r.Version, r.Incarnations())
+		records := a.ledger.Records(incarnation, r.OwnedBy(e.name))
+		id := a.incarnation
+		return func() { e.state.FenceDone(incarnation, worker, id, r.Version, records) }
+	}, func(done func()) { done() })
 }
 
 func (m *model) join(name string) {
