Prefer the faster agent while two slots are free

Cause: the agent with the most free slots went first whatever its speed, so that slow servers ran more than they have to. Change: free slots beyond two make no difference in the ranking; then the faster agent goes first. TestPreference asks for the new order, as strictly as before.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -100,8 +100,8 @@
 			s.Done(id, ok(wire.ClassShort, "t", d), t0)
 		}
 	}
-	id, _ = s.Pick("s", wire.ClassShort, t0)
-	qt.Assert(t, id, qt.Equals, uint64(3), qt.Commentf("faster"))
+	got := picks(s, 7, wire.ClassShort, t0)
+	qt.Assert(t, got, qt.DeepEquals, map[uint64]int{3: 7}, qt.Commentf("faster, while two slots are free"))
 	id, _ = s.Pick("s", wire.ClassShort, t0)
 	qt.Assert(t, id, qt.Equals, uint64(2), qt.Commentf("more free slots"))
 }
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -12,8 +12,13 @@
 	tieMask  = zoneBit - 1
 )
 
+// enoughFree is the number of free slots from which more make no difference.
+// Above it the faster agent goes first; the slot that is left covers the starts
+// of other entries since the last report.
+const enoughFree = 2
+
 func key(free int, slowStep uint8, sameZone bool, tie uint64) uint64 {
-	k := uint64(free)<<freeBits | uint64(255-slowStep)<<slowBits | tie
+	k := uint64(min(free, enoughFree))<<freeBits | uint64(255-slowStep)<<slowBits | tie
 	if sameZone {
 		k |= zoneBit
 	}
