Let estimates of other entries decay to their mean

Change: the estimate decays from the last report to the mean of the reports of all agents; the mean itself decays over ten run times, so that an entry without any task in flight starts again. A mean without decay: such an entry would never start a task again.

--- a/placement/agent.go
+++ b/placement/agent.go
@@ -78,6 +78,9 @@
 	g.others = max(float64(int(l.Running)+int(l.Held)-max(g.own-all, 0)), 0)
 	g.othersLong = max(float64(int(l.RunningLong)-max(g.ownLong-long, 0)), 0)
 	g.reportAt = now
+	for i := range g.members {
+		g.members[i].service.learnOthers(g, now)
+	}
 }
 
 // full records that the agent had no slot.
@@ -101,28 +104,40 @@
 	}
 }
 
-// decay is the part of the other entries' reported tasks that is still there.
-func (g *agent) decay(now time.Time) float64 {
+// meanDecay is how many run times the mean of the reports holds for when there
+// are no reports at all. Without an end, an entry that last saw full agents and
+// has nothing in flight would never start a task again.
+const meanDecay = 10
+
+// othersAt returns the estimated tasks of other entries. As the report decays,
+// the estimate moves from the reported count to the mean of the reports of all
+// agents: other entries go on starting tasks while this one hears nothing.
+func (g *agent) othersAt(now time.Time) (all, long float64) {
 	age := now.Sub(g.reportAt)
-	if age <= 0 || g.others == 0 {
-		return 1
+	if age <= 0 || len(g.members) == 0 {
+		return g.others, g.othersLong
 	}
-	runTime := defaultRunTime
-	if len(g.members) > 0 {
-		if d := g.members[0].service.runTime.duration(); d > 0 {
-			runTime = d
-		}
+	v := g.members[0].service
+	runTime := v.runTime.value
+	if runTime <= 0 {
+		runTime = float64(defaultRunTime)
 	}
-	return math.Exp(-float64(age) / float64(runTime))
+	decay := math.Exp(-float64(age) / runTime)
+	mean := math.Exp(-float64(now.Sub(v.reportAt))/(meanDecay*runTime)) * float64(g.slots)
+	all, long = v.others.value*mean, v.othersLong.value*mean
+	return all + (g.others-all)*decay, long + (g.othersLong-long)*decay
 }
 
-func (g *agent) othersNow(now time.Time) float64 { return g.others * g.decay(now) }
+func (g *agent) othersNow(now time.Time) float64 {
+	all, _ := g.othersAt(now)
+	return all
+}
 
 // free returns the estimated free slots.
-func (g *agent) free(now time.Time) int { return g.freeAt(g.decay(now), now) }
+func (g *agent) free(now time.Time) int { return g.freeBeside(g.othersNow(now), now) }
 
-func (g *agent) freeAt(decay float64, now time.Time) int {
-	return g.slots - g.own - int(g.others*decay+0.5) - g.health.reserved(now)
+func (g *agent) freeBeside(others float64, now time.Time) int {
+	return g.slots - g.own - int(others+0.5) - g.health.reserved(now)
 }
 
 // room returns the estimated slots by class. During readmission the limit
@@ -132,9 +147,9 @@
 	if limit := g.health.limit; limit > 0 && g.own >= limit {
 		return room
 	}
-	decay := g.decay(now)
-	free := g.freeAt(decay, now)
-	long := longSlots(g.slots, share) - g.ownLong - int(g.othersLong*decay+0.5)
+	others, othersLong := g.othersAt(now)
+	free := g.freeBeside(others, now)
+	long := longSlots(g.slots, share) - g.ownLong - int(othersLong+0.5)
 	return [2]int{free, min(free, long)}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -119,6 +119,18 @@
 	failures, slowness float64
 	limited            int
 	runTime            average
+	// others and othersLong are the mean parts of an agent's slots that other
+	// entries use, from the last reports.
+	others, othersLong average
+	reportAt           time.Time
+}
+
+func (v *service) learnOthers(g *agent, now time.Time) {
+	v.reportAt = now
+	if g.slots > 0 {
+		v.others.add(g.others / float64(g.slots))
+		v.othersLong.add(g.othersLong / float64(g.slots))
+	}
 }
 
 // New returns a State without agents.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -135,12 +135,21 @@
 	}
 }
 
-// Guards against an estimate that never forgets what other entries ran.
+// Guards against an estimate that takes a short silence for idleness, and
+// against one that takes a last report of full agents for the truth for ever.
 func TestReportDecays(t *testing.T) {
-	s := fleet(1, Options{})
-	s.Report(1, wire.Load{Slots: 8, Running: 8}, nil, t0)
-	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0), qt.IsFalse)
-	qt.Assert(t, s.HasRoom("s", wire.ClassShort, t0.Add(time.Second)), qt.IsTrue)
+	s := fleet(4, Options{})
+	for range 64 {
+		for id := uint64(1); id <= 4; id++ {
+			s.Report(id, wire.Load{Slots: 8, Running: 8}, nil, t0)
+		}
+	}
+	s.Report(1, wire.Load{Slots: 8}, nil, t0)
+	free := func(after time.Duration) int { return s.Agents(t0.Add(after))[0].Free }
+	qt.Assert(t, free(0), qt.Equals, 8)
+	qt.Assert(t, free(2*defaultRunTime) <= 2, qt.IsTrue)
+	qt.Assert(t, s.HasRoom("s", wire.ClassLong, t0.Add(10*time.Minute)), qt.IsTrue)
+	qt.Assert(t, free(10*time.Minute), qt.Equals, 8)
 }
 
 // Guards against long tasks that take every slot.
