--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/standin"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -59,9 +61,8 @@
 // registration that is written twice or not at all when a reply is lost.
 func TestAgentWithoutPlatformWaits(t *testing.T) {
 	r := newRig(t)
-	r.platform.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
-	r.platform.setDown(true)
-	r.platform.loseReply = true
+	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.platform.SetFaults(standin.PlatformFaults{Unavailable: true})
 	r.run()
 	time.Sleep(300 * time.Millisecond)
 	qt.Assert(t, len(r.entry.hellos), qt.Equals, 0)
@@ -69,15 +70,16 @@
 	qt.Assert(t, err, qt.IsNil)
 	_ = res.Body.Close()
 	qt.Assert(t, res.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	r.platform.setDown(false)
+	before := r.platform.Counts().Writes
+	r.platform.SetFaults(standin.PlatformFaults{LoseReplies: 1})
 	h := r.entry.connected()
-	reg := r.platform.registration(t)
+	reg := r.registration()
 	qt.Assert(t, reg.Incarnation, qt.Equals, h.Incarnation)
 	qt.Assert(t, reg.ReplacedAt.IsZero(), qt.IsFalse)
-	qt.Assert(t, r.platform.writes, qt.Equals, 1)
+	qt.Assert(t, r.platform.Counts().Writes-before, qt.Equals, 1)
 	r.stop()
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsFalse)
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsFalse)
 }
 
 // Guards against a task that runs after a settle has closed it, before it
@@ -159,22 +161,23 @@
 	r := newRig(t)
 	r.ready()
 	for _, tc := range []struct {
-		change func(*wire.Start)
-		ran    wire.Ran
-		reason string
+		change  func(*wire.Start)
+		outcome wire.Outcome
+		ran     wire.Ran
+		reason  string
 	}{
-		{func(s *wire.Start) { s.Owner = 999 }, wire.RanNo, "not in roster"},
-		{func(s *wire.Start) { s.Agent++ }, wire.RanNo, "other incarnation"},
-		{func(s *wire.Start) { s.Service = "dispatch" }, wire.RanNo, "no backend"},
-		{func(s *wire.Start) { s.TimeLeftMS = 0 }, wire.RanNo, "deadline"},
-		{func(s *wire.Start) { s.Key = wire.Key(api.NewKeyAt(time.Now().Add(-time.Hour), 1)) }, wire.RanMaybe, "expired"},
+		{func(s *wire.Start) { s.Owner = 999 }, wire.OutcomeRefused, wire.RanNo, "not in roster"},
+		{func(s *wire.Start) { s.Agent++ }, wire.OutcomeRefused, wire.RanNo, "other incarnation"},
+		{func(s *wire.Start) { s.Service = "dispatch" }, wire.OutcomeRefused, wire.RanNo, "no backend"},
+		{func(s *wire.Start) { s.TimeLeftMS = 0 }, wire.OutcomeBusy, wire.RanNo, "deadline"},
+		{func(s *wire.Start) { s.Key = wire.Key(api.NewKeyAt(time.Now().Add(-time.Hour), 1)) }, wire.OutcomeRefused, wire.RanMaybe, "expired"},
 	} {
 		s := &wire.Start{Key: wire.Key(r.key()), Owner: 101, Agent: r.entry.agent, Service: "cleft-assessor", TaskType: "a", TimeLeftMS: 1000}
 		tc.change(s)
 		r.entry.send(s)
 		m := next[*wire.Result](r.entry)
 		qt.Assert(t, m.Reason, qt.Equals, tc.reason)
-		qt.Assert(t, m.Outcome, qt.Equals, wire.OutcomeRefused)
+		qt.Assert(t, m.Outcome, qt.Equals, tc.outcome)
 		qt.Assert(t, m.Ran, qt.Equals, tc.ran)
 	}
 	tasks, _ := r.backend.executions()
@@ -257,7 +260,7 @@
 	r := newRig(t)
 	relay := newRelay(t, r.entry.listener.Addr())
 	roster := &ownership.Roster{Members: []ownership.Member{{Name: "e1", Incarnation: 101, PeerAddr: relay.addr()}}}
-	r.platform.put(platform.RowRoster, roster)
+	r.put(platform.RowRoster, roster)
 	r.ready()
 	k := r.key()
 	r.entry.start(k, 0, `"wait"`)
@@ -333,22 +336,25 @@
 	r.settings.Hold = 10
 	r.ready()
 	k := r.key()
+	// Results of this size are still on the way when the last task ends.
+	body := `"wait` + strings.Repeat("x", 60000) + `"`
 	for i := range 10 {
-		r.entry.start(k, uint16(i), `"wait"`)
+		r.entry.start(k, uint16(i), body)
 	}
-	r.waitForExecutions(2)
+	r.entry.send(&wire.Settle{Key: wire.Key(r.key()), Owner: 101})
+	qt.Assert(t, next[*wire.Settled](r.entry).Load, qt.Equals, wire.Load{Slots: 2, Running: 2, Held: 8})
 	r.stop()
 	for !next[*wire.LoadReport](r.entry).Load.Leaving {
 	}
 	r.entry.start(k, 50, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsTrue, qt.Commentf("it still runs tasks"))
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsTrue, qt.Commentf("it still runs tasks"))
 	close(r.backend.release)
 	for range 10 {
 		qt.Assert(t, next[*wire.Result](r.entry).Outcome, qt.Equals, wire.OutcomeOK)
 	}
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsFalse)
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsFalse)
 }
 
 // Guards against a drain that never ends, or that claims that a task which it
@@ -410,7 +416,8 @@
 	r.entry.start(r.key(), 0, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
 	r.entry.send(&wire.WorkerConfig{Version: 8, Services: []string{"dispatch"}})
-	qt.Assert(t, next[*wire.LoadReport](r.entry).Load.ConfigVersion, qt.Equals, uint64(8))
+	qt.Assert(t, next[*wire.LoadReport](r.entry).Load, qt.Equals, wire.Load{Slots: 2, Leaving: true, ConfigVersion: 8},
+		qt.Commentf("an empty list of services cannot be told from an unchanged one"))
 	r.entry.start(r.key(), 0, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "no backend")
 }
@@ -420,13 +427,13 @@
 func TestReplacedAgentTakesNoTasks(t *testing.T) {
 	r := newRig(t)
 	r.ready()
-	r.platform.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
 	r.agent.checkRegistration(context.Background())
 	r.entry.start(r.key(), 0, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
 	r.stop()
 	qt.Assert(t, <-r.ended, qt.IsNil)
-	qt.Assert(t, r.platform.registration(t).LeftAt.IsZero(), qt.IsTrue, qt.Commentf("the row of the other incarnation was changed"))
+	qt.Assert(t, r.registration().LeftAt.IsZero(), qt.IsTrue, qt.Commentf("the row of the other incarnation was changed"))
 }
 
 // Guards against agents that choose the same entries, or change more of their
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -35,13 +35,13 @@
 
 // cluster is a platform with entries and fake agents on loopback.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standin.Platform
 	entryTLS *transport.Credentials
 	agentTLS *transport.Credentials
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	dir := t.TempDir()
 	qt.Assert(t, transport.WriteDevCertificates(dir), qt.IsNil)
 	c := &cluster{t: t}
@@ -67,13 +67,21 @@
 
 // node is a running entry.
 type node struct {
-	t *testing.T
+	t testing.TB
 	*Entry
 	stop  context.CancelFunc
 	ended chan error
 }
 
+// start runs an entry until it is ready.
 func (c *cluster) start(name string) *node {
+	c.t.Helper()
+	n := c.launch(name)
+	eventually(c.t, "the entry is ready", func() bool { return n.Ready() == "" })
+	return n
+}
+
+func (c *cluster) launch(name string) *node {
 	c.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -101,17 +109,10 @@
 			c.t.Error("the entry did not stop")
 		}
 	})
-	eventually(c.t, "the entry is ready", func() bool { return e.Ready() == "" })
 	return n
 }
 
-// kill ends the entry without a drain.
-func (n *node) kill() {
-	_ = n.listener.Close()
-	_ = n.http.Close()
-}
-
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if f() {
@@ -184,7 +185,7 @@
 // fakeAgent is an agent with the real ledger over real QUIC. Tests hold back
 // the results of its tasks.
 type fakeAgent struct {
-	t           *testing.T
+	t           testing.TB
 	c           *cluster
 	worker      string
 	incarnation uint64
@@ -199,13 +200,14 @@
 	closes int
 	// keyless makes the agent ignore requests to close a key.
 	keyless bool
+	config  wire.WorkerConfig
 }
 
 func (c *cluster) agent(worker string, incarnation uint64, run func(*wire.Start) *wire.Result) *fakeAgent {
 	a := &fakeAgent{
 		t: c.t, c: c, worker: worker, incarnation: incarnation, run: run, runs: map[string]int{},
 		links:  map[string]*transport.Conn{},
-		ledger: ledger.New(incarnation, ledger.Options{MaxRecords: 10000, MaxResultBytes: 1 << 20}),
+		ledger: ledger.New(incarnation, ledger.Options{MaxRecords: 1_000_000, MaxResultBytes: 1 << 20}),
 	}
 	reg := ownership.Registration{Worker: worker, Incarnation: incarnation, Addr: "127.0.0.1:1", Zone: "salalah-kiln"}
 	b, _ := json.Marshal(reg)
@@ -258,6 +260,8 @@
 		switch m := m.(type) {
 		case *wire.RosterUpdate:
 			a.adopt(m.Roster)
+		case *wire.WorkerConfig:
+			a.config = *m
 		case *wire.Start:
 			a.start(conn, m)
 		case *wire.Settle:
@@ -365,3 +369,15 @@
 	}
 	return len(a.runs), most
 }
+
+// drained returns the configuration with the next version, in which w1 is
+// drained.
+func drained(t *testing.T, value []byte) []byte {
+	c, err := config.Decode(value)
+	qt.Assert(t, err, qt.IsNil)
+	c.Version++
+	c.Workers[0].Drain = true
+	b, err := config.Encode(c)
+	qt.Assert(t, err, qt.IsNil)
+	return b
+}
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -19,8 +19,8 @@
 	rosterInterval  = time.Second
 	platformTimeout = 2 * time.Second
 	// doubtfulAfter is how old the last reading of the roster may be while a
-	// peer is missing. Peers need 6 s of missed pings to remove this entry.
-	doubtfulAfter = 4 * time.Second
+	// peer is missing. Peers need 5 s of missed pings to remove this entry.
+	doubtfulAfter = 3 * time.Second
 	// agentsWait bounds how long a joining entry waits for the registered agents
 	// to connect before it is ready.
 	agentsWait = 3 * time.Second
@@ -83,6 +83,9 @@
 		return err
 	}
 	if _, ok := r.Find(e.self.Incarnation); !ok {
+		if *joined && r == nil {
+			return errors.New("the roster is gone from the platform")
+		}
 		if *joined {
 			e.post(ctx, func(c *core) { c.onRemoved(r) })
 			return nil
@@ -275,6 +278,8 @@
 		return
 	}
 	c.e.peers.set(r)
+	// The next poll reads the agents that have to fence who left.
+	signal(c.e.peers.changed)
 	c.setTeams()
 	for _, ag := range c.agents {
 		c.push(ag)
@@ -314,8 +319,13 @@
 	if c.draining || c.removed {
 		return
 	}
-	c.e.log.Warn("this entry was removed from the roster; it finishes what it started and joins again")
+	c.e.log.Warn("this entry was removed from the roster; it finishes what it started and ends")
 	c.removed, c.suspect = true, true
+	for _, m := range r.Members {
+		if m.Name == c.e.self.Name {
+			c.e.replaced.Store(true)
+		}
+	}
 	c.e.notReady.Store("removed from the roster by the other entries")
 	c.adopt(r)
 	c.failWaiting()
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,9 +15,10 @@
 	"github.com/sesamelift/sesamelift/wire"
 )
 
-// maxBodyBytes bounds the bodies of the jobs in progress, in bytes. The largest
-// queue of tasks of 12 kB fits.
-const maxBodyBytes = 256 << 20
+// maxRunningBytes is the size of the bodies and results of the jobs in progress
+// from which new jobs are refused, in bytes. A full queue of 20,000 tasks with
+// bodies of 12 kB fits.
+const maxRunningBytes = 256 << 20
 
 // activeJob is what the core loop holds for a job in progress besides the job
 // table.
@@ -35,12 +36,16 @@
 
 // submit admits a submission whose key belongs to this entry.
 func (c *core) submit(r *request, d ownership.Decision, now time.Time) {
+	known := c.jobs.Known(r.key)
 	if a := c.jobs.Check(r.key, r.sub, r.digest, now); a != nil {
-		if a.State == api.StateRunning {
+		switch {
+		case a.State == api.StateRunning:
 			c.answerOrWait(r, now)
-			return
+		case known:
+			r.send(reply{answer: a})
+		default:
+			c.closeKey(a, r.sub.Idempotent, func() { r.send(reply{answer: a}) })
 		}
-		r.send(reply{answer: a})
 		return
 	}
 	// The table is asked first, so that drained entries still answer for their
@@ -82,8 +87,8 @@
 	if v := c.checkType(s); v != nil {
 		return v, class
 	}
-	if c.jobs.BodyBytes() > maxBodyBytes {
-		v := api.Refuse(api.ReasonOverload, "the jobs in progress use all memory for task bodies")
+	if c.jobs.RunningBytes() > maxRunningBytes {
+		v := api.Refuse(api.ReasonOverload, "the jobs in progress use all memory for bodies and results")
 		v.RetryAfter = time.Second
 		return v, class
 	}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -96,6 +96,12 @@
 			start(tb, 1, agentB)
 			return tb.Result(agentA, result(k, 0, wire.OutcomeFailed, wire.RanNo))
 		}, api.Failed, api.RanMaybe, api.ReasonTaskFailed, 1},
+		{"agent sees the deadline first", func(tb *Table) []Action {
+			start(tb, 0, agentA)
+			r := result(k, 0, wire.OutcomeFailed, wire.RanMaybe)
+			r.Reason = "deadline"
+			return tb.Result(agentA, r)
+		}, api.Failed, api.RanMaybe, api.ReasonDeadlineExceeded, 0},
 		{"the only start failed before it ran", func(tb *Table) []Action {
 			start(tb, 0, agentA)
 			return tb.Result(agentA, result(k, 0, wire.OutcomeFailed, wire.RanNo))
@@ -157,7 +163,7 @@
 			qt.Assert(t, len(a.Results) > 0, qt.Equals, r.verdict == api.Complete)
 			qt.Assert(t, tb.Fail(k, api.ReasonCancelled, ""), qt.HasLen, 0, qt.Commentf("a second verdict"))
 			qt.Assert(t, tb.Start(k, 1, agentA), qt.IsNil, qt.Commentf("a start after the verdict"))
-			qt.Assert(t, []int{tb.Running(), tb.BodyBytes(), len(tb.tasks)}, qt.DeepEquals, []int{0, 0, 0})
+			qt.Assert(t, []int{tb.Running(), tb.RunningBytes(), len(tb.tasks)}, qt.DeepEquals, []int{0, 0, 0})
 		})
 	}
 }
