Give every copy of a submission the same bytes on its way to the owner

Cause: a forwarded submission was encoded anew, which dropped white space and escaped '<', '>' and '&' in its tasks. Its digest differed from that of a copy sent to the owner directly, and the caller got a false key_conflict. Change: the entry that receives a submission removes white space from the tasks; forwarding does not escape. Tests for both ways with such bodies, and for a full request queue. Ruled out: a digest in Forward, which would leave the agents with two forms of one task.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -70,8 +70,10 @@
 	t.Parallel()
 	_, e1, e2, a := pair(t, nil)
 	key := ownedBy(t, "e2", "e1", "e2")
-	later := e1.submitLater(key, job(3))
-	direct := e2.submitLater(key, job(3))
+	// Spaces and characters that JSON encoders may escape must not make the
+	// forwarded copy another submission.
+	body := `{"service":"cleft-assessor","type":"grain","team":"kiln","tasks":[{"n": 0, "s": "<&>"}, 1 ,"\u003c"]}`
+	later, direct := e1.submitLater(key, body), e2.submitLater(key, body)
 	a.waitHeld(3)
 	running, _ := ask(context.Background(), e1.Entry, func(c *core) int { return c.jobs.Running() })
 	qt.Assert(t, running, qt.Equals, 0)
@@ -206,6 +208,24 @@
 	qt.Assert(t, (<-later).code, qt.Equals, 200)
 }
 
+// Guards against callers that wait for a core loop that cannot keep up.
+func TestRequestQueueFull(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	hold, held := make(chan struct{}), make(chan struct{})
+	n.post(context.Background(), func(*core) { close(held); <-hold })
+	<-held
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	for range requestQueue {
+		n.requests <- &request{ctx: gone, key: newKey(t)}
+	}
+	code, ans := n.submit(newKey(t), job(1))
+	qt.Assert(t, []any{code, ans.Reason, ans.Ran, ans.RetryAfterMS > 0}, qt.DeepEquals, []any{503, api.ReasonOverload, api.RanMaybe, true})
+	close(hold)
+}
+
 // Guards against two processes that remove each other from the roster for good
 // because they have the same name.
 func TestSameName(t *testing.T) {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -149,7 +149,7 @@
 	return res.StatusCode, &a
 }
 
-func (n *node) submit(key api.Key, s *api.Submission) (int, *api.Answer) {
+func (n *node) submit(key api.Key, s any) (int, *api.Answer) {
 	n.t.Helper()
 	return n.call("POST", "/v1/jobs", teamToken, key, s)
 }
@@ -159,7 +159,7 @@
 	answer *api.Answer
 }
 
-func (n *node) submitLater(key api.Key, s *api.Submission) <-chan submitted {
+func (n *node) submitLater(key api.Key, s any) <-chan submitted {
 	out := make(chan submitted, 1)
 	go func() {
 		code, a := n.submit(key, s)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -261,7 +261,7 @@
 		sub = &api.Submission{Team: r.team}
 	}
 	var err error
-	if m.Submission, err = json.Marshal(sub); err != nil {
+	if m.Submission, err = encodeSubmission(sub); err != nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(0, left)+answerGrace)
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -70,11 +72,38 @@
 	defer span.End()
 	ctx = withTraceID(ctx)
 	span.SetAttributes(attribute.String("key", key.String()), attribute.String("service", s.Service), attribute.Int("tasks", len(s.Tasks)))
+	s = compact(s)
 	r := &request{op: wire.OpSubmit, key: key, team: s.Team, sub: s, digest: s.Digest(), wait: wait, ctx: ctx}
 	r.deadline = e.clock.now().Add(e.timeFor(s))
 	return e.finishAnswer(ctx, e.route(ctx, r))
 }
 
+// compact returns the submission without white space in its tasks. Copies that
+// reach the owner on different ways then have the same bytes and digest.
+func compact(s *api.Submission) *api.Submission {
+	c := *s
+	c.Tasks = make([]json.RawMessage, len(s.Tasks))
+	for i, t := range s.Tasks {
+		var b bytes.Buffer
+		b.Grow(len(t))
+		if json.Compact(&b, t) == nil {
+			t = b.Bytes()
+		}
+		c.Tasks[i] = t
+	}
+	return &c
+}
+
+// encodeSubmission is json.Marshal without the escaping of '<', '>' and '&',
+// which would change the bytes of the tasks.
+func encodeSubmission(s *api.Submission) ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	err := e.Encode(s)
+	return b.Bytes(), err
+}
+
 // Get implements ingress.Service.
 func (e *Entry) Get(ctx context.Context, key api.Key, team string, wait bool) *api.Answer {
 	r := &request{op: wire.OpGet, key: key, team: team, wait: wait, ctx: ctx}
