--- a/bench/run.go
+++ b/bench/run.go
@@ -78,10 +78,12 @@
 	return a != nil && a.Verdict == api.Complete
 }
 
-// refused reports whether the job was refused and nothing of it ran.
+// refused reports whether the job was refused and nothing of it ran. A job that
+// was accepted and met its deadline in the queue has failed.
 func (r *run) refused(i int) bool {
-	a := r.outcome(i).answer
-	return a != nil && a.Verdict == api.Failed && a.Ran == api.RanNo && !r.outcome(i).cancelled
+	o := r.outcome(i)
+	return o.answer != nil && o.answer.Verdict == api.Failed && o.answer.Ran == api.RanNo &&
+		o.answer.Reason != api.ReasonDeadlineExceeded && !o.cancelled
 }
 
 // executions returns how often the task ran on all backend servers.
