--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,8 +6,8 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/jobs"
 	"github.com/sesamelift/sesamelift/placement"
-	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/queue"
+	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
 
