Say maybe when agents are there but none can be asked to close a key

Cause: since a refusal passes over agents with a full send ring, the first round could end without a question and the answer kept saying "not run". Change: only an entry without any agent answers from its own tombstone alone.

--- a/entry/close.go
+++ b/entry/close.go
@@ -48,7 +48,11 @@
 		}
 	}
 	if !c.askClose(cl) {
-		// Without an agent nothing can start either.
+		// Without any agent nothing can start either. An agent that could not be
+		// asked may take starts of the next owner.
+		if len(cl.asked) > 0 {
+			doubt(a, idempotent)
+		}
 		deliver()
 		return
 	}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -226,6 +226,22 @@
 	close(hold)
 }
 
+// Guards against "not run" when agents are there but none can be asked to close
+// the key.
+func TestNoAgentCanBeAsked(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	c.agent("w1", 11, ok).connect(n, "")
+	a, _ := ask(context.Background(), n.Entry, func(c *core) *api.Answer {
+		c.agents[11].conn.Close(nil)
+		a := &api.Answer{Key: newKey(t), Ran: api.RanNo, RetrySafe: true}
+		c.closeKey(a, false, func() {})
+		return a
+	})
+	qt.Assert(t, []any{a.Ran, a.RetrySafe}, qt.DeepEquals, []any{api.RanMaybe, false})
+}
+
 // Guards against two processes that remove each other from the roster for good
 // because they have the same name.
 func TestSameName(t *testing.T) {
