Compare consecutive failures with the other agents before ejecting

Cause: in an overload, the tasks of a large job whose deadline is over fail on all agents at once; five in a row ejected up to three healthy agents. Change: consecutive failures eject an agent only if its failure rate exceeds that of the others by 0.2. Ruled out: twice the rate of the others, as for the failure rate; five of eleven agents that fail everything were then not ejected (TestEjectionIsBounded).

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -24,15 +24,15 @@
 	settleTime = time.Second
 	// leaveTime is how long after the announcement a leaving backend server may
 	// still get work.
-	leaveTime     = 2 * time.Second
-	outageTime    = 4 * time.Second
-	cancelShare   = 0.6
-	cancelWaves   = 3
-	cancelPause   = time.Second
-	crestLength   = 10 * time.Second
-	beforeCrest   = 1500 * time.Millisecond
-	afterCrest    = 3 * time.Second
-	victim        = 9 // the fastest worker
+	leaveTime   = 2 * time.Second
+	outageTime  = 4 * time.Second
+	cancelShare = 0.6
+	cancelWaves = 3
+	cancelPause = time.Second
+	crestLength = 10 * time.Second
+	beforeCrest = 1500 * time.Millisecond
+	afterCrest  = 3 * time.Second
+	victim      = 9 // the fastest worker
 	// crestDeadline leaves room for most stragglers, which run 1.2 s or more.
 	crestDeadline = 4 * time.Second
 	deadline      = 10 * time.Second
--- a/placement/health.go
+++ b/placement/health.go
@@ -12,6 +12,10 @@
 	// failMargin is by how much the failure rate of an agent must exceed twice
 	// that of the others to eject it.
 	failMargin = 0.3
+	// burstMargin is by how much the failure rate must exceed that of the others
+	// for consecutive failures to count; five of them alone reach 0.28. Tasks of
+	// a job whose deadline is over fail on all agents at once and eject none.
+	burstMargin = 0.2
 	// slowFactor is how many times slower than the others an agent must be to be
 	// ejected. Servers differ by up to about 3 in speed without any fault.
 	slowFactor = 5
@@ -159,7 +163,7 @@
 		return ""
 	case h.limit > 0:
 		return "failure during readmission"
-	case h.consecutive >= ejectAfter:
+	case h.consecutive >= ejectAfter && h.failRate > others+burstMargin:
 		return fmt.Sprintf("%d consecutive failures", h.consecutive)
 	case h.ends >= minSamples && h.failRate > 2*others+failMargin:
 		return fmt.Sprintf("failure rate %.2f, others %.2f", h.failRate, others)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -284,6 +284,23 @@
 	qt.Assert(t, ejected, qt.Equals, 3)
 }
 
+// Guards against ejecting agents in an overload, when tasks of large jobs fail on
+// all agents because their deadline is over.
+func TestFailuresOnAllAgentsEjectNone(t *testing.T) {
+	s := fleet(11, Options{})
+	for range 100 {
+		for id := uint64(1); id <= 11; id++ {
+			s.Done(id, ok(wire.ClassShort, "t", time.Millisecond), t0)
+		}
+		for n := range 11 * 8 {
+			s.Done(uint64(n%11+1), Done{Service: "s", Outcome: wire.OutcomeFailed}, t0)
+		}
+		for _, a := range s.Agents(t0) {
+			qt.Assert(t, a.Ejected, qt.IsFalse)
+		}
+	}
+}
+
 // Guards against losing the count of tasks in flight over a reconnection, and
 // against records of agents that never come back.
 func TestReconnection(t *testing.T) {
