Admit a job only if twice its expected wait fits

Cause: more was admitted than could end in time; jobs expired in the queue after some of their tasks had used slots. Change: the expected wait counts twice against the time left. The table test has new times for the same two sides of the bound.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -17,6 +17,9 @@
 const (
 	// DefaultMaxQueuedTasks bounds the tasks that wait for a slot.
 	DefaultMaxQueuedTasks = 20000
+	// waitFactor is the safety of the expected wait. Run times vary, and of two
+	// tasks that are refused or fail late, the late one has used a slot.
+	waitFactor = 2
 	// Bounds of the Retry-After hint.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -135,7 +138,7 @@
 		return overload(p.RunTime, fmt.Sprintf("%d tasks would wait, the limit is %d", queued, s.o.MaxQueuedTasks))
 	}
 	wait := time.Duration(max(queued, 0)) * p.RunTime / time.Duration(part)
-	if late := wait + p.RunTime - r.TimeLeft; late > 0 && queued > 0 {
+	if late := waitFactor*wait + p.RunTime - r.TimeLeft; late > 0 && queued > 0 {
 		return overload(late, fmt.Sprintf("the expected wait is %v, the time left is %v", wait.Round(time.Millisecond), r.TimeLeft.Round(time.Millisecond)))
 	}
 	return nil
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -26,8 +26,8 @@
 	}{
 		{"idle", nil, 1, 0, 170, time.Second, idle, ""},
 		{"no agent", nil, 1, 0, 1, time.Second, Supply{}, api.ReasonNoWorker},
-		{"expected wait within the time left", nil, 2, 0, 1, 3 * time.Second, full, ""},
-		{"expected wait too long", nil, 2, 0, 1, 2 * time.Second, full, api.ReasonOverload},
+		{"expected wait within the time left", nil, 2, 0, 1, 4300 * time.Millisecond, full, ""},
+		{"expected wait too long", nil, 2, 0, 1, 4100 * time.Millisecond, full, api.ReasonOverload},
 		{"no observation yet", nil, 1, 0, 1, time.Millisecond, Supply{Slots: 8, Busy: 8, Waiting: 100}, ""},
 		{"too many queued", nil, 1, 0, 170, time.Hour, Supply{Slots: 8, Busy: 8, Waiting: 950, RunTime: time.Millisecond}, api.ReasonOverload},
 		{"other entries use all slots", nil, 2, 0, 20, time.Second, Supply{Slots: 88, Busy: 88, Others: 88, RunTime: 200 * time.Millisecond}, ""},
