Bound the age of a job in the queue by its deadline

Cause: admission expects service in order of arrival, but small jobs passed large ones until their deadline. Change: a job goes first within its team after a quarter of the time that it had at its arrival, at most 2 s.

--- a/queue/heap.go
+++ b/queue/heap.go
@@ -1,11 +1,15 @@
 package queue
 
-import "github.com/sesamelift/sesamelift/wire"
+import (
+	"time"
+
+	"github.com/sesamelift/sesamelift/wire"
+)
 
 // Orders of the jobs of a team.
 const (
 	byRemaining = iota
-	byArrival
+	byAge
 )
 
 type job struct {
@@ -13,6 +17,8 @@
 	team      *team
 	waiting   []uint16
 	remaining int
+	// agedAt is when the job goes first within its team.
+	agedAt time.Time
 	// index is the position in the heaps of the team by order, or -1.
 	index [2]int
 }
@@ -30,6 +36,9 @@
 	if h.order == byRemaining && a.remaining != b.remaining {
 		return a.remaining < b.remaining
 	}
+	if h.order == byAge {
+		return a.agedAt.Before(b.agedAt)
+	}
 	return a.Arrived.Before(b.Arrived)
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -20,6 +20,10 @@
 	// its team. It is several typical run times, so that a large job is passed
 	// by small ones for a bounded time only.
 	DefaultMaxAge = 2 * time.Second
+	// ageShare bounds that age to a part of the time that the job had at its
+	// arrival. Admission expects jobs to be served in order of arrival; a large
+	// job that small ones pass for longer misses its deadline.
+	ageShare = 4
 	// longCost is what a long task costs its team, in short tasks. It is the
 	// factor from which a type counts as long.
 	longCost = 10
@@ -78,6 +82,7 @@
 		}
 		known = &job{Job: j, remaining: max(j.Tasks, len(tasks))}
 		known.index = [2]int{-1, -1}
+		known.agedAt = j.Arrived.Add(q.maxAge(j))
 		q.jobs[j.Key] = known
 	}
 	if len(tasks) == 0 {
@@ -91,6 +96,13 @@
 	return true
 }
 
+func (q *Queue) maxAge(j Job) time.Duration {
+	if j.Deadline.IsZero() {
+		return q.o.MaxAge
+	}
+	return min(q.o.MaxAge, j.Deadline.Sub(j.Arrived)/ageShare)
+}
+
 // Next takes the next task for which free reports a slot. It asks free at most
 // once for each service and class with waiting tasks.
 func (q *Queue) Next(now time.Time, free func(service string, c wire.Class) bool) (wire.Key, uint16, bool) {
@@ -101,7 +113,7 @@
 		for c := range open {
 			open[c] = s.waiting[c] > 0 && free(s.name, wire.Class(c))
 		}
-		j := s.next(open, now.Add(-q.o.MaxAge))
+		j := s.next(open, now)
 		if j == nil {
 			continue
 		}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// Guards against a large job that small ones pass until its deadline is over.
+func TestAgeBoundFollowsTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		deadline time.Duration
+		want     byte
+	}{{800 * time.Millisecond, 1}, {time.Minute, 2}} {
+		q := New(Options{})
+		q.Add(Job{Key: wire.Key{1}, Service: "s", Arrived: t0, Deadline: t0.Add(c.deadline), Tasks: 9}, tasks(9)...)
+		now := t0.Add(300 * time.Millisecond)
+		q.Add(Job{Key: wire.Key{2}, Service: "s", Arrived: now, Deadline: now.Add(c.deadline), Tasks: 1}, 0)
+		k, _, _ := q.Next(now, anyClass)
+		qt.Assert(t, k[0], qt.Equals, c.want)
+	}
+}
+
 // Guards against a job that is nearly done waiting behind a fresh smaller one.
 func TestFinishedTasksMoveAJobForward(t *testing.T) {
 	q := New(Options{})
--- a/queue/service.go
+++ b/queue/service.go
@@ -31,7 +31,7 @@
 }
 
 // next returns the job that goes next among the open classes, or nil.
-func (s *service) next(open [2]bool, oldest time.Time) *job {
+func (s *service) next(open [2]bool, now time.Time) *job {
 	var t *team
 	for c := range open {
 		if open[c] && len(s.active[c].teams) > 0 {
@@ -43,13 +43,13 @@
 	if t == nil {
 		return nil
 	}
-	return t.next(open, oldest)
+	return t.next(open, now)
 }
 
-// next returns the oldest job if it arrived before the bound; otherwise the job
-// with the fewest tasks remaining, short before long. A long task delays short
-// ones by far more than they delay it.
-func (t *team) next(open [2]bool, oldest time.Time) *job {
+// next returns the job that reached the age bound first; if there is none, the
+// job with the fewest tasks remaining, short before long. A long task delays
+// short ones by far more than they delay it.
+func (t *team) next(open [2]bool, now time.Time) *job {
 	var aged, few *job
 	for c := range open {
 		if !open[c] || len(t.jobs[c][byRemaining].jobs) == 0 {
@@ -58,8 +58,8 @@
 		if few == nil {
 			few = t.jobs[c][byRemaining].jobs[0]
 		}
-		j := t.jobs[c][byArrival].jobs[0]
-		if j.Arrived.Before(oldest) && (aged == nil || j.Arrived.Before(aged.Arrived)) {
+		j := t.jobs[c][byAge].jobs[0]
+		if !now.Before(j.agedAt) && (aged == nil || j.agedAt.Before(aged.agedAt)) {
 			aged = j
 		}
 	}
