Say maybe when a refused key could be closed at no agent

Cause: found by reading (ownership review). An entry without agents refused with ran: no on its own tombstone alone; should it leave, the next owner of the key may have agents and run a late copy of the job.

Change: without an agent that closes the key the answer says maybe. Peers may hold 4096 instead of 256 forwarded requests, each of which waits for its answer. TestConnectionsAreBounded failed once under load since its maximum was not updated atomically; it now uses compare-and-swap with the same bound.

Conclusion: every ran: no of an owner stands in the ledger of an agent.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -181,8 +181,8 @@
 	release := make(chan struct{})
 	s := newServer(t, 3)
 	s.use(serve(t, func(w http.ResponseWriter, r *http.Request) {
-		if n := open.Add(1); n > most.Load() {
-			most.Store(n)
+		n := open.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 		}
 		select {
 		case <-release:
--- a/entry/close.go
+++ b/entry/close.go
@@ -48,11 +48,9 @@
 		}
 	}
 	if !c.askClose(cl) {
-		// Without any agent nothing can start either. An agent that could not be
-		// asked may take starts of the next owner.
-		if len(cl.asked) > 0 {
-			doubt(a, idempotent)
-		}
+		// This entry can start nothing, but the next owner of the key may reach
+		// agents and get a late copy of the job.
+		doubt(a, idempotent)
 		deliver()
 		return
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -294,3 +294,13 @@
 		})
 	}
 }
+
+// Guards against "not run" from an entry that could close the key at no agent:
+// if it leaves, the next owner may run a late copy.
+func TestRefusalWithoutAgents(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).start("e1")
+	eventually(t, "the entry is ready", func() bool { return n.Ready() == "" })
+	code, ans := n.submit(newKey(t), job(1))
+	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanMaybe})
+}
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -25,8 +25,9 @@
 	// Receive windows, in bytes. They bound the memory of a connection.
 	streamWindow    = 64 << 10
 	maxStreamWindow = 4 << 20
-	// maxCalls bounds the concurrent requests of a peer.
-	maxCalls = 256
+	// maxCalls bounds the concurrent requests of a peer. Each job that is forwarded
+	// to its owner holds one until it is answered.
+	maxCalls = 4096
 )
 
 func quicConfig() *quic.Config {
