Test the real programs with entries killed and paused

Cause: the tests so far ran entries and agents in one process with fakes; nothing checked the real programs with SIGKILL and SIGSTOP. Change: package faulttest builds the programs, runs them over loopback and compares each answer with what the backend server stand-ins ran. Tests: an entry killed under load, an entry paused beyond its removal, the same key at all entries.

--- /dev/null
+++ b/faulttest/entry_test.go
@@ -0,0 +1,121 @@
+package faulttest
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+const (
+	// removal is how long the peers of a dead entry may take to remove it: three
+	// missed pings of 2 s, the pause before the first, the poll of the roster.
+	removal = 12 * time.Second
+	// promptly bounds an answer that a fault must not delay.
+	promptly = 2 * time.Second
+)
+
+func (c *cluster) removed(p *process) {
+	c.t.Helper()
+	c.eventually(p.name+" is removed from the roster", removal, func() bool {
+		for _, e := range c.entries {
+			if e == p {
+				continue
+			}
+			if s, err := e.status(); err != nil || len(s.Entries) != len(c.entries)-1 || len(s.Unresolved) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a job that gets no answer, a second start or a partial answer
+// when its owner crashes, and against jobs of other owners that wait for it.
+func TestEntryKilled(t *testing.T) {
+	c := newCluster(t, 1, 3, 3)
+	l := c.load(8, 3, 30)
+	time.Sleep(700 * time.Millisecond)
+	c.entries[0].kill()
+	c.removed(c.entries[0])
+	time.Sleep(300 * time.Millisecond)
+	for _, o := range l.finish() {
+		if !o.complete() {
+			t.Errorf("not complete: %v", o)
+		}
+		if c.owner(o.key) != "e1" && o.took > promptly {
+			t.Errorf("an unaffected job was late: %v", o)
+		}
+	}
+	c.verify()
+}
+
+// Guards against an entry that was paused beyond its removal and then starts
+// tasks again, or gives a false answer.
+func TestEntryPaused(t *testing.T) {
+	c := newCluster(t, 2, 2, 3)
+	paused := c.entries[0]
+	const jobs, tasks, ms = 8, 40, 40
+	var keys []api.Key
+	var wg sync.WaitGroup
+	for range jobs {
+		key := c.keyOf(paused)
+		keys = append(keys, key)
+		wg.Go(func() { c.submit([]string{paused.caller}, key, tasks, ms, 30*time.Second) })
+	}
+	c.eventually("tasks run", 5*time.Second, func() bool { return c.runs.Total() > 40 })
+	paused.signal(syscall.SIGSTOP)
+	c.removed(paused)
+	var mu sync.Mutex
+	var recovered []outcome
+	for _, key := range keys {
+		wg.Go(func() {
+			o := c.insist(1, key, tasks, ms, 5*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			recovered = append(recovered, o)
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	paused.signal(syscall.SIGCONT)
+	wg.Wait()
+	for _, o := range recovered {
+		if !o.complete() {
+			t.Errorf("not recovered: %v", o)
+		}
+	}
+	c.eventually("the entry has joined again", 10*time.Second, func() bool {
+		s, err := paused.status()
+		return err == nil && s.Ready && len(s.Entries) == 2
+	})
+	for _, key := range keys {
+		if o := c.insist(0, key, tasks, ms, 5*time.Second); !o.complete() {
+			t.Errorf("another answer after the entry has joined again: %v", o)
+		}
+	}
+	c.verify()
+}
+
+// Guards against copies of a submission at several entries that each run.
+func TestSameKeyEverywhere(t *testing.T) {
+	c := newCluster(t, 3, 3, 3)
+	for range 40 {
+		key := c.key()
+		var wg sync.WaitGroup
+		answers := make([]*api.Answer, 9)
+		for i := range answers {
+			wg.Go(func() { answers[i] = c.submit([]string{c.entries[i%3].caller}, key, 10, 10, 5*time.Second) })
+		}
+		wg.Wait()
+		for _, a := range answers {
+			qt.Assert(t, a, qt.IsNotNil)
+			qt.Check(t, a.Verdict, qt.Equals, api.Complete, qt.Commentf("%s", describe([]*api.Answer{a})))
+			qt.Check(t, a.Results, qt.DeepEquals, answers[0].Results)
+		}
+	}
+	c.verify()
+}
--- /dev/null
+++ b/faulttest/harness_test.go
@@ -0,0 +1,335 @@
+// Package faulttest runs the real programs as separate processes over loopback
+// and breaks them. The test process is the caller, the platform and the backend
+// servers, and checks the answers against what the backend servers ran.
+package faulttest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/client"
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/sheet"
+	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/transport"
+)
+
+const (
+	teamToken     = "team-test-token-000001"
+	operatorToken = "operator-test-token-01"
+	slots         = 8
+)
+
+// programs is the directory of the programs and the certificates.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "faulttest")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir, "./cmd/sesamelift-entry", "./cmd/sesamelift-agent")
+	build.Dir, build.Stderr = "..", os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	if err := transport.WriteDevCertificates(dir); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// Ports come from below the range that the system gives out, so that a port
+// stays free while its process is down.
+var lastPort atomic.Int32
+
+func init() { lastPort.Store(20000 + int32(os.Getpid()%500)*20) }
+
+func address(t *testing.T) string {
+	for range 1000 {
+		a := fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1))
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		u, err := net.ListenPacket("udp", a)
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		return a
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// process is a program under test. A restart replaces cmd and ended.
+type process struct {
+	t        *testing.T
+	name     string
+	program  string
+	settings map[string]any
+	dir      string
+	// caller is the address for callers of an entry, announce that of an agent
+	// for its backend server.
+	caller, announce string
+	cmd              *exec.Cmd
+	ended            chan struct{}
+	err              error
+}
+
+func (p *process) start() {
+	file := filepath.Join(p.dir, p.name+".json")
+	b, err := json.Marshal(p.settings)
+	qt.Assert(p.t, err, qt.IsNil)
+	qt.Assert(p.t, os.WriteFile(file, b, 0o600), qt.IsNil)
+	out, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	qt.Assert(p.t, err, qt.IsNil)
+	cmd, ended := exec.Command(filepath.Join(programs, p.program), "-settings", file), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = out, out
+	qt.Assert(p.t, cmd.Start(), qt.IsNil)
+	p.cmd, p.ended = cmd, ended
+	go func() {
+		p.err = cmd.Wait()
+		_ = out.Close()
+		close(ended)
+	}()
+	p.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-ended
+	})
+}
+
+func (p *process) signal(s syscall.Signal) { qt.Assert(p.t, p.cmd.Process.Signal(s), qt.IsNil) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) status() (*ingress.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	b, err := client.New([]string{p.caller}, operatorToken).Fetch(ctx, "/v1/status")
+	if err != nil {
+		return nil, err
+	}
+	var s ingress.Status
+	return &s, json.Unmarshal(b, &s)
+}
+
+func (p *process) ready() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.caller+p.announce+"/readyz", nil)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// cluster is a deployment and its caller.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	platform *standin.Platform
+	runs     standin.Executions
+	entries  []*process
+	agents   []*process
+	backends []*standin.Backend
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	seen map[api.Key]*history
+}
+
+// history is what the caller has learned of a key.
+type history struct {
+	tasks   int
+	answers []*api.Answer
+}
+
+// newCluster starts a deployment and waits until it is ready. agents may be 0.
+func newCluster(t *testing.T, seed uint64, entries, agents int) *cluster {
+	t.Parallel()
+	c := &cluster{t: t, dir: t.TempDir(), rand: rand.New(rand.NewPCG(seed, 1)), seen: map[api.Key]*history{}}
+	var err error
+	c.platform, err = standin.NewPlatform(standin.PlatformOptions{Address: "127.0.0.1:0"})
+	qt.Assert(t, err, qt.IsNil)
+	background(t, c.platform.Run)
+	t.Cleanup(c.printLogs)
+	_, err = sheet.Apply(context.Background(), c.platform, c.config(), "first")
+	qt.Assert(t, err, qt.IsNil)
+	for range entries {
+		c.addEntry().start()
+	}
+	c.eventually("the entries are ready", 10*time.Second, func() bool {
+		return !slices.ContainsFunc(c.entries, func(p *process) bool { s, err := p.status(); return err != nil || len(s.Entries) != entries })
+	})
+	for range agents {
+		c.addAgent()
+	}
+	if agents > 0 {
+		c.connected()
+	}
+	return c
+}
+
+// connected waits until every entry has every agent.
+func (c *cluster) connected() {
+	c.eventually("the entries have all agents", 15*time.Second, func() bool {
+		return !slices.ContainsFunc(c.entries, func(p *process) bool {
+			s, err := p.status()
+			return err != nil || !s.Ready || s.Workers != len(c.agents)
+		}) && !slices.ContainsFunc(c.agents, func(p *process) bool { return !p.ready() })
+	})
+}
+
+func background(t *testing.T, run func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = run(ctx)
+		close(ended)
+	}()
+	stop = func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func (c *cluster) config() *config.Config {
+	cfg := &config.Config{
+		Services: []config.Service{{Name: "dispatch", Types: []config.RequestType{
+			{Name: "quote", DeadlineMS: 8000, Idempotent: true}, {Name: "booking", DeadlineMS: 8000},
+		}}},
+		Teams: []config.Team{{Name: "depots", Quota: 100000, Weight: 1}},
+	}
+	for i := range 6 {
+		cfg.Workers = append(cfg.Workers, config.Worker{Name: fmt.Sprintf("w%d", i+1), Services: []string{"dispatch"}})
+	}
+	return cfg
+}
+
+func (c *cluster) tls(role string) map[string]any {
+	f := transport.DevFiles(programs, role)
+	return map[string]any{"certificate": f.Certificate, "key": f.Key, "ca": f.CA}
+}
+
+func (c *cluster) addEntry() *process {
+	name := fmt.Sprintf("e%d", len(c.entries)+1)
+	p := &process{t: c.t, name: name, program: "sesamelift-entry", dir: c.dir, caller: address(c.t)}
+	p.settings = map[string]any{
+		"name": name, "zone": "z1", "caller_address": p.caller, "peer_address": address(c.t), "platform_address": c.platform.Addr(),
+		"tls": c.tls("entry"), "operator_token": operatorToken, "team_tokens": map[string]string{"depots": teamToken},
+	}
+	c.entries = append(c.entries, p)
+	return p
+}
+
+// addAgent starts an agent and its backend server.
+func (c *cluster) addAgent() *process {
+	name := fmt.Sprintf("w%d", len(c.agents)+1)
+	p := &process{t: c.t, name: name, program: "sesamelift-agent", dir: c.dir, announce: address(c.t)}
+	p.settings = map[string]any{
+		"name": name, "zone": "z1", "announce_address": p.announce, "platform_address": c.platform.Addr(), "tls": c.tls("agent"),
+		"slots": slots, "health_interval_ms": 200,
+	}
+	p.start()
+	c.agents = append(c.agents, p)
+	b, _ := c.addBackend(p)
+	c.backends = append(c.backends, b)
+	return p
+}
+
+func (c *cluster) addBackend(p *process) (*standin.Backend, func()) {
+	b, err := standin.NewBackend(standin.BackendOptions{
+		Address: "127.0.0.1:0", AgentAddress: p.announce, Name: p.name, Services: []string{"dispatch"}, Executions: &c.runs,
+	})
+	qt.Assert(c.t, err, qt.IsNil)
+	stop := background(c.t, b.Run)
+	c.t.Cleanup(b.Kill)
+	return b, stop
+}
+
+func (c *cluster) eventually(what string, limit time.Duration, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// printLogs shows the warnings of the programs after a failure.
+func (c *cluster) printLogs() {
+	if !c.t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, f := range files {
+		b, _ := os.ReadFile(f)
+		lines := bytes.Split(bytes.TrimSpace(b), []byte("\n"))
+		lines = slices.DeleteFunc(lines, func(l []byte) bool { return bytes.Contains(l, []byte(`"verdict"`)) })
+		c.t.Logf("%s:\n%s", filepath.Base(f), bytes.Join(lines[max(0, len(lines)-25):], []byte("\n")))
+	}
+}
+
+func (c *cluster) key() api.Key {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return api.NewKeyAt(time.Now(), c.rand.Uint64())
+}
+
+// keyOf returns a key that the entry of that name owns while all are members.
+func (c *cluster) keyOf(p *process) api.Key {
+	for {
+		if k := c.key(); c.owner(k) == p.name {
+			return k
+		}
+	}
+}
+
+func (c *cluster) owner(k api.Key) string {
+	var names []string
+	for _, e := range c.entries {
+		names = append(names, e.name)
+	}
+	return ownership.Winner(names, k)
+}
+
+func (c *cluster) callers(first int) []string {
+	var a []string
+	for i := range c.entries {
+		a = append(a, c.entries[(first+i)%len(c.entries)].caller)
+	}
+	return a
+}
