Probe idle connections at the end that dialed

Cause: when an idle connection lost only the direction to the agent, the entry closed it after the first start without an answer, and the agent did not notice before its QUIC keep-alive (20 s) and idle timeout (60 s). The entry had no worker until then. Found by faulttest TestIdleFlowsLoseDirectionToAgent. Change: the end that dialed sends a Ping after 20 s without a message and closes the connection after 1.5 s without an answer. The QUIC keep-alive moves to 25 s, so that a probed connection sends none. Ruled out: a shorter idle timeout alone (the keep-alive restarts it, so that detection takes 1.5 times the timeout); probes every 5 s (about 28 KB/s at an entry with 890 idle agents). Conclusion: bounded by 21.5 s and the dial. The entry cannot tell the agent earlier without a message through another entry.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -27,6 +27,11 @@
 	// SilentAfter is how long an unanswered probe waits before the connection
 	// counts as silent.
 	SilentAfter = 1500 * time.Millisecond
+	// IdleProbe is how long an idle connection may be quiet before the end that
+	// dialed probes it. It takes the place of the QUIC keep-alive, which does
+	// not notice before the idle timeout that one direction is lost. 890 agents
+	// that all are idle cost an entry 45 probes a second, some 7 KB/s.
+	IdleProbe = 20 * time.Second
 )
 
 // Errors of a connection. None of them says whether a message that was handed
@@ -104,6 +109,10 @@
 // probe gets no answer.
 func (c *Conn) Expect(n int) { c.probe.expect(n) }
 
+// Probe closes the connection with ErrSilent unless the peer answers within
+// SilentAfter. Only the end that dialed may call it.
+func (c *Conn) Probe() { c.probe.suspect() }
+
 // Done is closed when the connection is closed.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -18,9 +18,9 @@
 	// handshakeTimeout bounds the QUIC handshake and the exchange of Hello and
 	// Welcome.
 	handshakeTimeout = 3 * time.Second
-	// keepAlive keeps address translations open on idle connections. 890 agents
-	// at one packet in 20 s cost an entry about 45 packets a second.
-	keepAlive   = 20 * time.Second
+	// keepAlive keeps address translations open on idle connections. It is
+	// longer than IdleProbe, so that a probed connection sends no keep-alives.
+	keepAlive   = 25 * time.Second
 	idleTimeout = 60 * time.Second
 	// Receive windows, in bytes. They bound the memory of a connection.
 	streamWindow    = 64 << 10
@@ -91,7 +91,9 @@
 		return nil, nil, &RefusedError{w.Refusal}
 	}
 	_ = s.SetReadDeadline(time.Time{})
-	return newConn(q, s, r), w, nil
+	c := newConn(q, s, r)
+	c.probe.watchIdle(IdleProbe)
+	return c, w, nil
 }
 
 // Listener accepts connections of agents and entries.
--- a/transport/probe.go
+++ b/transport/probe.go
@@ -7,12 +7,14 @@
 	"github.com/sesamelift/sesamelift/wire"
 )
 
-// probe closes a connection that is silent although traffic is expected. Its
-// timer runs only while something is expected, so that idle connections cost
-// nothing.
+// probe closes a connection that is silent although traffic is expected. The
+// end that dialed also probes an idle connection, since only it can replace it.
 type probe struct {
-	mu       sync.Mutex
-	conn     *Conn
+	mu   sync.Mutex
+	conn *Conn
+	// idle is how long an idle connection may be quiet before it is probed; 0
+	// means that it is not probed.
+	idle     time.Duration
 	timer    *time.Timer
 	armed    bool
 	stopped  bool
@@ -30,6 +32,16 @@
 	p.timer.Stop()
 }
 
+// watchIdle probes the connection from now on even when nothing is expected.
+func (p *probe) watchIdle(every time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = every
+	if p.expected == 0 && !p.stopped {
+		p.arm(every)
+	}
+}
+
 func (p *probe) heard() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,11 +52,13 @@
 func (p *probe) expect(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.expected == 0 && n > 0 {
+	first := p.expected == 0 && n > 0
+	if first {
 		p.last = time.Now()
 	}
 	p.expected = max(0, p.expected+n)
-	if p.expected > 0 && !p.armed && !p.stopped {
+	// The timer may be set for an idle connection, unless a Ping is out.
+	if p.expected > 0 && !p.stopped && (!p.armed || first && p.pinged.IsZero()) {
 		p.arm(ProbeAfter)
 	}
 }
@@ -74,7 +88,11 @@
 // silent.
 func (p *probe) step(now time.Time) bool {
 	p.armed = false
-	if p.stopped || p.expected == 0 {
+	quiet := ProbeAfter
+	if p.expected == 0 {
+		quiet = p.idle
+	}
+	if p.stopped || quiet == 0 {
 		p.pinged = time.Time{}
 		return false
 	}
@@ -85,14 +103,27 @@
 		}
 		return true
 	}
-	if wait := ProbeAfter - now.Sub(p.last); wait > 0 {
+	if wait := quiet - now.Sub(p.last); wait > 0 {
 		p.arm(wait)
 		return false
 	}
+	p.ping(now)
+	return false
+}
+
+func (p *probe) ping(now time.Time) {
 	p.seq++
 	p.pinged = now
 	p.conn.probes.Add(1)
 	_ = p.conn.Send(&wire.Ping{Seq: p.seq})
 	p.arm(SilentAfter)
-	return false
+}
+
+// suspect probes the connection now, unless a probe is out.
+func (p *probe) suspect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped && p.pinged.IsZero() {
+		p.ping(time.Now())
+	}
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -166,6 +166,25 @@
 	}
 }
 
+// Guards against an idle connection that stays open at the end that dialed it
+// after the path has lost it, and against one that is closed while it works.
+func TestIdleConnectionIsProbed(t *testing.T) {
+	p := newPair(t)
+	for _, c := range []*Conn{p.client, p.server} {
+		go func() { _, _ = c.Receive() }()
+	}
+	p.client.probe.watchIdle(100 * time.Millisecond)
+	time.Sleep(SilentAfter + time.Second)
+	qt.Assert(t, p.client.Err(), qt.IsNil)
+	p.cut.drop.Store(true)
+	select {
+	case <-p.client.Done():
+	case <-time.After(2 * SilentAfter):
+		t.Fatal("the connection is still open")
+	}
+	qt.Assert(t, p.client.Err(), qt.Equals, ErrSilent)
+}
+
 // Guards against an agent certificate that is used to pose as an entry.
 func TestRoleIsChecked(t *testing.T) {
 	dir := t.TempDir()
