Probe connections to entry incarnations that have left the roster

Cause: an entry that was killed and started again left its agents with a connection on which nothing was expected. They kept it until the idle probe; the new process became ready without workers, and keys of its former incarnation got owner_change. Found by faulttest TestConfigurationNeverReverts. Change: on a new roster, an agent probes at once the connections to incarnations that are not in it. A removed entry that still finishes its jobs answers and keeps its connection. Conclusion: with one entry alone nobody pushes the roster; there the idle probe bounds it.

--- a/agent/links.go
+++ b/agent/links.go
@@ -64,6 +64,19 @@
 			c.a.dials.Go(func() { c.a.keepLink(ctx, e) })
 		}
 	}
+	c.probeFormer()
+}
+
+// probeFormer probes the connections to incarnations that have left the roster.
+// A process that crashed and started again leaves a connection on which nothing
+// is expected, and the new one has no worker until it is replaced.
+func (c *core) probeFormer() {
+	for l := range c.links {
+		same := func(m ownership.Member) bool { return m.Incarnation == l.incarnation }
+		if !slices.ContainsFunc(c.roster.Members, same) {
+			l.conn.Probe()
+		}
+	}
 }
 
 // chooseEntries returns the n members with the highest rendezvous hash for a
