--- a/faulttest/caller_test.go
+++ b/faulttest/caller_test.go
@@ -31,16 +31,34 @@
 // submit sends a job to the first of the entries that answers within limit. It
 // returns nil when there is no answer. Every answer is checked.
 func (c *cluster) submit(entries []string, key api.Key, tasks, ms int, limit time.Duration) *api.Answer {
+	return c.submitJob(entries, key, submission(key, tasks, ms), limit)
+}
+
+func (c *cluster) submitJob(entries []string, key api.Key, s *api.Submission, limit time.Duration) *api.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	a, err := client.New(entries, teamToken).Submit(ctx, key, submission(key, tasks, ms))
+	a, err := client.New(entries, teamToken).Submit(ctx, key, s)
 	if err != nil {
 		return nil
 	}
-	c.note(key, tasks, a)
+	c.note(key, len(s.Tasks), a)
 	return a
 }
 
+// cancel cancels a job at the first entry that answers.
+func (c *cluster) cancel(key api.Key, tasks int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	a, err := client.New(c.callers(1), teamToken).Cancel(ctx, key)
+	if err != nil {
+		c.t.Errorf("key %s: the cancellation got no answer: %v", key, err)
+		return
+	}
+	if a.State == api.StateDone {
+		c.note(key, tasks, a)
+	}
+}
+
 // note checks an answer on its own and keeps it for verify.
 func (c *cluster) note(key api.Key, tasks int, a *api.Answer) {
 	c.mu.Lock()
--- /dev/null
+++ b/faulttest/config_test.go
@@ -0,0 +1,108 @@
+package faulttest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/sheet"
+	"github.com/sesamelift/sesamelift/standin"
+)
+
+// inEffect is the target for the test environment.
+const inEffect = time.Second
+
+// apply applies a change that was made for the version base.
+func (c *cluster) apply(operator string, base uint64) (*sheet.Result, error) {
+	cfg := c.config()
+	cfg.Version, cfg.Operator = base, operator
+	cfg.Teams = append(cfg.Teams, config.Team{Name: operator, Quota: 10, Weight: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return sheet.Apply(ctx, platform.NewClient(c.platform.Addr()), cfg, fmt.Sprintf("%s-%d", operator, base))
+}
+
+func (c *cluster) checkVersion(version uint64, since time.Time) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("version %d is in effect everywhere", version), 5*time.Second, func() bool {
+		for _, e := range c.entries {
+			if s, err := e.status(); err != nil || s.ConfigVersion != version {
+				return false
+			}
+		}
+		return true
+	})
+	took := time.Since(since)
+	c.t.Logf("version %d was in effect after %v", version, took)
+	qt.Check(c.t, took < inEffect, qt.IsTrue, qt.Commentf("in effect after %v", took))
+}
+
+// Guards against two operators whose changes both take effect, or mix, and
+// against a version that takes effect late.
+func TestConcurrentSheets(t *testing.T) {
+	c := newCluster(t, 16, 3, 1)
+	for base := uint64(1); base <= 4; base++ {
+		var wg sync.WaitGroup
+		results, errs := make([]*sheet.Result, 2), make([]error, 2)
+		for i := range 2 {
+			wg.Go(func() { results[i], errs[i] = c.apply(fmt.Sprintf("operator-%d-%d", i, base), base) })
+		}
+		wg.Wait()
+		accepted := time.Now()
+		won := 0
+		for i := range 2 {
+			var conflict *sheet.ConflictError
+			switch {
+			case errs[i] == nil:
+				won++
+				qt.Check(t, results[i].Version, qt.Equals, base+1)
+			case !errors.As(errs[i], &conflict):
+				t.Errorf("the loser must see a conflict: %v", errs[i])
+			default:
+				qt.Check(t, conflict.Version, qt.Equals, base+1)
+			}
+		}
+		qt.Assert(t, won, qt.Equals, 1)
+		c.checkVersion(base+1, accepted)
+	}
+}
+
+// Guards against an accepted configuration that reverts at an entry that starts
+// again, also while the platform is away.
+func TestConfigurationNeverReverts(t *testing.T) {
+	c := newCluster(t, 17, 2, 1)
+	restarted := c.entries[0]
+	for version := uint64(2); version <= 4; version++ {
+		_, err := c.apply(fmt.Sprintf("operator-%d", version), version-1)
+		qt.Assert(t, err, qt.IsNil)
+		restarted.kill()
+		if version%2 == 0 {
+			c.platform.SetFaults(standin.PlatformFaults{Unavailable: true})
+		}
+		restarted.start()
+		began := time.Now()
+		c.eventually("the restarted entry is ready", 15*time.Second, func() bool {
+			if time.Since(began) > 1500*time.Millisecond {
+				c.platform.SetFaults(standin.PlatformFaults{})
+			}
+			s, err := restarted.status()
+			if err != nil {
+				return false
+			}
+			if s.Ready && s.ConfigVersion < version {
+				t.Errorf("the entry is ready with version %d after version %d was accepted", s.ConfigVersion, version)
+			}
+			return s.Ready
+		})
+		o := c.insist(0, c.keyOf(restarted), 3, 10, 10*time.Second)
+		qt.Check(t, o.complete(), qt.IsTrue, qt.Commentf("%v", o))
+	}
+	c.verify()
+}
--- a/faulttest/harness_test.go
+++ b/faulttest/harness_test.go
@@ -164,6 +164,7 @@
 	agents   []*process
 	backends []*standin.Backend
 
+	// mu guards the fields below, and entries once callers run.
 	mu   sync.Mutex
 	rand *rand.Rand
 	seen map[api.Key]*history
@@ -245,6 +246,8 @@
 }
 
 func (c *cluster) addEntry() *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	name := fmt.Sprintf("e%d", len(c.entries)+1)
 	p := &process{t: c.t, name: name, program: "sesamelift-entry", dir: c.dir, caller: address(c.t)}
 	p.settings = map[string]any{
@@ -319,6 +322,8 @@
 }
 
 func (c *cluster) owner(k api.Key) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var names []string
 	for _, e := range c.entries {
 		names = append(names, e.name)
@@ -327,6 +332,8 @@
 }
 
 func (c *cluster) callers(first int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var a []string
 	for i := range c.entries {
 		a = append(a, c.entries[(first+i)%len(c.entries)].caller)
