Queue a job while all agents replace their connections

Cause: when the connections of all agents are lost at once, a job that arrives before they return (50 to 100 ms) was refused with no_worker, status 422, as one that can never run. Found by faulttest TestPeerFlowsLoseOneDirection. Ruled out: to count them always, which would accept more than the workers left can run.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -178,6 +178,26 @@
 	qt.Assert(t, []int{tasks, most}, qt.DeepEquals, []int{3, 1})
 }
 
+// Guards against a job that is refused for want of workers while all agents
+// replace their connections.
+func TestJobWaitsForLostAgents(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, ok)
+	conn := a.connect(n, "")
+	conn.Close(nil)
+	eventually(t, "the entry has lost the agent", func() bool {
+		lost, _ := ask(context.Background(), n.Entry, func(c *core) bool { return c.agents[11].conn == nil })
+		return lost
+	})
+	later := n.submitLater(newKey(t), job(3))
+	time.Sleep(100 * time.Millisecond)
+	a.connect(n, "")
+	got := <-later
+	qt.Assert(t, got.code, qt.Equals, 200, qt.Commentf("%+v", got.answer))
+}
+
 // Guards against a cancellation or deadline that gives a second or partial
 // answer, or a wrong ran.
 func TestCancelAndDeadline(t *testing.T) {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -93,11 +94,27 @@
 		return v, class
 	}
 	supply := c.placement.Supply(s.Service)
+	if supply.Slots == 0 {
+		supply.Slots = c.lostSlots(s.Service)
+	}
 	supply.Waiting = c.queue.Waiting(s.Service, wire.ClassShort) + c.queue.Waiting(s.Service, wire.ClassLong)
 	q := admission.Request{Service: s.Service, Type: s.Type, Team: s.Team, Class: class, Tasks: len(s.Tasks), TimeLeft: left}
 	return c.admission.Admit(now, q, supply), class
 }
 
+// lostSlots counts the slots of agents whose connection is lost but which may
+// return. When all connections are replaced at once, jobs wait for that; they
+// are not refused for want of workers.
+func (c *core) lostSlots(service string) int {
+	n := 0
+	for _, ag := range c.agents {
+		if ag.conn == nil && !ag.load.Leaving && slices.Contains(ag.services, service) {
+			n += int(ag.load.Slots)
+		}
+	}
+	return n
+}
+
 // limitIdempotent leaves a job marked as idempotent only if its request type is
 // idempotent by configuration.
 func (c *core) limitIdempotent(r *request) {
