--- a/faulttest/agent_test.go
+++ b/faulttest/agent_test.go
@@ -86,3 +86,25 @@
 	}
 	c.verify()
 }
+
+// Guards against jobs in doubt because an agent was started again long after it
+// had told what the dead entry started.
+func TestAgentRestartedAfterRemoval(t *testing.T) {
+	c := newCluster(t, 9, 3, 2)
+	dead := c.entries[0]
+	dead.kill()
+	c.removed(dead)
+	c.agents[0].kill()
+	c.agents[0].start()
+	c.eventually("the agent is back", 15*time.Second, func() bool {
+		s1, err1 := c.entries[1].status()
+		s2, err2 := c.entries[2].status()
+		return c.agents[0].ready() && err1 == nil && err2 == nil && s1.Workers == 2 && s2.Workers == 2
+	})
+	for range 20 {
+		if o := c.insist(1, c.keyOf(dead), 3, 10, 5*time.Second); !o.complete() {
+			t.Errorf("not complete: %v", o)
+		}
+	}
+	c.verify()
+}
