Share flags, settings, signals and telemetry of the daemons in one package

Change: package daemon holds them; cmd only reads settings and wires the entry or the agent. The signal test moves along and covers both signals and a failure.

Ruled out: a generic Main over the settings type, which hides the wiring.

--- a/cmd/sesamelift-agent/main_test.go
+++ b/cmd/sesamelift-agent/main_test.go
@@ -50,7 +50,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var out bytes.Buffer
-			qt.Assert(t, command(tc.args, &out, &out), qt.Equals, tc.code, qt.Commentf("%s", &out))
+			qt.Assert(t, newDaemon().Command(tc.args, &out, &out), qt.Equals, tc.code, qt.Commentf("%s", &out))
 			qt.Assert(t, out.String(), qt.Contains, tc.out)
 		})
 	}
@@ -66,7 +66,7 @@
 	t.Setenv("SESAMELIFT_AGENT_SETTINGS", writeSettings(t, address))
 	var out bytes.Buffer
 	ended := make(chan int, 1)
-	go func() { ended <- command(nil, &out, &out) }()
+	go func() { ended <- newDaemon().Command(nil, &out, &out) }()
 	for len(ended) == 0 {
 		// Signals are handled from before the agent serves HTTP.
 		if res, err := http.Get("http://" + address + "/healthz"); err == nil {
--- a/cmd/sesamelift-entry/main_test.go
+++ b/cmd/sesamelift-entry/main_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/pkg/errors"
 
+	"github.com/sesamelift/sesamelift/daemon"
 	"github.com/sesamelift/sesamelift/transport"
 )
 
@@ -29,37 +27,20 @@
 		code int
 		out  string
 	}{
-		{[]string{"-version"}, exitOK, "sesamelift-entry "},
-		{[]string{"-h"}, exitOK, "-settings"},
-		{[]string{"-settings", good, "-check"}, exitOK, "settings are valid"},
-		{[]string{"-settings", bad, "-check"}, exitUsage, "is not a name"},
-		{[]string{"-settings", filepath.Join(dir, "none")}, exitUsage, "read settings"},
-		{nil, exitUsage, "-settings FILE is required"},
-		{[]string{"-unknown"}, exitUsage, "not defined"},
-		{[]string{"extra"}, exitUsage, "unexpected argument"},
+		{[]string{"-version"}, daemon.ExitOK, "sesamelift-entry "},
+		{[]string{"-h"}, daemon.ExitOK, "-settings"},
+		{[]string{"-settings", good, "-check"}, daemon.ExitOK, "settings are valid"},
+		{[]string{"-settings", bad, "-check"}, daemon.ExitUsage, "is not a name"},
+		{[]string{"-settings", filepath.Join(dir, "none")}, daemon.ExitUsage, "read settings"},
+		{nil, daemon.ExitUsage, "-settings FILE is required"},
+		{[]string{"-unknown"}, daemon.ExitUsage, "not defined"},
+		{[]string{"extra"}, daemon.ExitUsage, "unexpected argument"},
 	} {
 		var out bytes.Buffer
-		qt.Check(t, command(r.args, &out, &out), qt.Equals, r.code, qt.Commentf("%v", r.args))
+		qt.Check(t, newDaemon().Command(r.args, &out, &out), qt.Equals, r.code, qt.Commentf("%v", r.args))
 		qt.Check(t, out.String(), qt.Contains, r.out)
 	}
 	t.Setenv("SESAMELIFT_ENTRY_SETTINGS", good)
 	var out bytes.Buffer
-	qt.Assert(t, command([]string{"-check"}, &out, &out), qt.Equals, exitOK, qt.Commentf("%s", out.String()))
-}
-
-// Guards against a first signal that does not drain and a second one that does
-// not stop.
-func TestSignals(t *testing.T) {
-	interrupt := func() { _ = syscall.Kill(os.Getpid(), syscall.SIGTERM) }
-	err := supervise(func(ctx context.Context) error { interrupt(); <-ctx.Done(); return nil })
-	qt.Assert(t, err, qt.IsNil)
-	err = supervise(func(ctx context.Context) error {
-		interrupt()
-		<-ctx.Done()
-		interrupt()
-		select {}
-	})
-	qt.Assert(t, err, qt.Equals, errStopped)
-	failed := errors.New("failed")
-	qt.Assert(t, supervise(func(context.Context) error { return failed }), qt.Equals, failed)
+	qt.Assert(t, newDaemon().Command([]string{"-check"}, &out, &out), qt.Equals, daemon.ExitOK, qt.Commentf("%s", out.String()))
 }
