Refuse while a standing queue is longer than it has to be

Cause: with a deadline of several seconds, admission let the queue grow to seconds of work; after a crest of twice the capacity, response was not normal within 3 s, and at 80% load such a queue needs far longer to drain. Change: when more than 1.5 run times of work have stood in front of new jobs without a break for a quarter of their time left, jobs are refused until the queue is shorter; the state ends after one second below that. Ruled out: the same bound without the condition on time; a burst of large jobs at normal load would be refused.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -66,6 +66,8 @@
 	teams   map[string]Team
 	entries int
 	used    map[string]int
+	// pressure is the state of the queue of each service.
+	pressure map[string]*pressure
 }
 
 // New returns a State without teams; teams that it does not know have no quota.
@@ -73,7 +75,7 @@
 	if o.MaxQueuedTasks <= 0 {
 		o.MaxQueuedTasks = DefaultMaxQueuedTasks
 	}
-	return &State{o: o, entries: 1, used: map[string]int{}}
+	return &State{o: o, entries: 1, used: map[string]int{}, pressure: map[string]*pressure{}}
 }
 
 // SetTeams sets the quotas and the number of entries that share them.
@@ -86,7 +88,7 @@
 
 // Admit returns nil and takes quota for the whole job, or returns a refusal and
 // takes nothing. An admitted job is given back with Release.
-func (s *State) Admit(_ time.Time, r Request, p Supply) *api.Verdict {
+func (s *State) Admit(now time.Time, r Request, p Supply) *api.Verdict {
 	if p.Slots <= 0 {
 		return api.Refuse(api.ReasonNoWorker, fmt.Sprintf("no worker serves %q", r.Service))
 	}
@@ -96,6 +98,9 @@
 	if v := s.checkWait(r, p); v != nil {
 		return v
 	}
+	if v := s.checkPressure(now, r, p); v != nil {
+		return v
+	}
 	s.used[r.Team] += r.Tasks
 	return nil
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -58,6 +58,34 @@
 	}
 }
 
+// Guards against a queue that stands for the whole of an overload and delays all
+// later jobs, and against refusals in a burst that drains.
+func TestStandingQueue(t *testing.T) {
+	s := New(Options{})
+	r := Request{Service: "s", Team: "a", Tasks: 1, TimeLeft: 4 * time.Second}
+	admit := func(after time.Duration, waiting int) bool {
+		p := Supply{Slots: 88, Busy: 88, Waiting: waiting, RunTime: 200 * time.Millisecond}
+		return s.Admit(now.Add(after), r, p) == nil
+	}
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		waiting int
+		want    bool
+	}{
+		{"burst", 0, 300, true},
+		{"still a burst", 900 * time.Millisecond, 300, true},
+		{"drained", 950 * time.Millisecond, 100, true},
+		{"next burst", time.Second, 300, true},
+		{"standing for a quarter of the time left", 2 * time.Second, 300, false},
+		{"short enough", 2100 * time.Millisecond, 100, true},
+		{"overload goes on", 2200 * time.Millisecond, 300, false},
+		{"calm for a second", 3300 * time.Millisecond, 300, true},
+	} {
+		qt.Assert(t, admit(c.after, c.waiting), qt.Equals, c.want, qt.Commentf("%s", c.name))
+	}
+}
+
 // Guards against quota that is not given back, or given back twice.
 func TestRelease(t *testing.T) {
 	s := New(Options{})
