End the overload when new jobs find a short queue for 300 ms

Cause: any job that found a longer queue within a second kept the state of overload, so that bursts at normal load after a crest were refused. Change: the overload ends after 300 ms in which all new jobs found a queue below the bound, or after a second without a job above it.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -16,9 +16,12 @@
 	// stand above standingWait without a break before it counts as overload. A
 	// burst of large jobs at normal load drains before that.
 	pressureShare = 4
-	// calmTime is how long the queue must stay below standingWait for the end of
-	// the overload.
-	calmTime = time.Second
+	// calmTime is how long all new jobs must find the queue below standingWait
+	// for the end of the overload. At twice the capacity, an entry of the small
+	// deployment gets a job every 40 ms and some are large.
+	calmTime = 300 * time.Millisecond
+	// quietTime without a job above standingWait ends the overload, too.
+	quietTime = time.Second
 )
 
 // pressure tells a queue that stands from a burst that drains.
@@ -26,7 +29,9 @@
 	// since is the start of an unbroken time above standingWait; zero if below.
 	since time.Time
 	// high is the last time above it.
-	high       time.Time
+	high time.Time
+	// low is the first time below it after high; zero if none.
+	low        time.Time
 	overloaded bool
 }
 
@@ -49,14 +54,20 @@
 // update takes whether the queue is above standingWait and reports whether the
 // job is to be refused.
 func (q *pressure) update(now time.Time, above bool, timeLeft time.Duration) bool {
-	if now.Sub(q.high) > calmTime {
+	if now.Sub(q.high) > quietTime {
 		q.overloaded, q.since = false, time.Time{}
 	}
 	if !above {
+		if q.low.IsZero() {
+			q.low = now
+		}
+		if now.Sub(q.low) >= calmTime {
+			q.overloaded = false
+		}
 		q.since = time.Time{}
 		return false
 	}
-	q.high = now
+	q.high, q.low = now, time.Time{}
 	if q.since.IsZero() {
 		q.since = now
 	}
