--- a/entry/close.go
+++ b/entry/close.go
@@ -48,7 +48,9 @@
 		}
 	}
 	if !c.askClose(cl) {
-		// Without an agent nothing can start either.
+		// This entry can start nothing, but the next owner of the key may reach
+		// agents and get a late copy of the job.
+		doubt(a, idempotent)
 		deliver()
 		return
 	}
