Say in logs, metrics and answers what operators need

A failed dial of an agent was logged at debug only, so a rejected certificate left no trace. The log did not say when the roster was read again. An ejection appeared in no metric. A quota refusal showed two numbers without saying that one is this entry's part. A wrong operator's token had the reason malformed. Status listed missing workers before an unreachable platform.

Change: one warning for each loss of an entry, an info line when the roster is read again, the gauge agents_ejected, clearer texts, reason unauthorized, and the platform first under what to do.

Ruled out: a log line for each ejection, since package placement is pure and reports only a state; a line for invalid certificate files, since package transport has no logger.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -121,7 +121,7 @@
 	if used == 0 || used+r.Tasks <= part {
 		return nil
 	}
-	v := api.Refuse(api.ReasonQuota, fmt.Sprintf("team %q has %d tasks in progress here, the quota is %d of %d", r.Team, used, part, quota))
+	v := api.Refuse(api.ReasonQuota, fmt.Sprintf("team %q has %d tasks in progress at this entry and the job has %d more; the entry's part of the quota of %d is %d", r.Team, used, r.Tasks, quota, part))
 	v.RetryAfter = clampRetry(p.RunTime)
 	return v
 }
--- a/agent/core.go
+++ b/agent/core.go
@@ -266,7 +266,7 @@
 func (c *core) parseRoster(version uint64, b []byte) *ownership.Roster {
 	r := &ownership.Roster{}
 	if err := json.Unmarshal(b, r); err != nil {
-		c.log.WithError(err).Error("roster is not valid")
+		c.log.WithError(err).Error("the roster that an entry sent is not valid; the last one stays in use")
 		return nil
 	}
 	r.Version = version
--- a/agent/links.go
+++ b/agent/links.go
@@ -83,16 +83,20 @@
 	log := a.log.WithField("entry", e.name)
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = dialBackoffMin, dialBackoffMax
+	tried := false
 	for ctx.Err() == nil {
 		conn, w, err := a.dial(ctx, e)
 		if err != nil {
-			if ctx.Err() == nil {
-				log.WithError(err).Debug("no connection to the entry")
+			// One warning for each loss: an entry that is off is dialed for hours.
+			if ctx.Err() == nil && !tried {
+				log.WithError(err).Warn("cannot connect to the entry, trying again")
 			}
+			tried = true
 			sleep(ctx, b.NextBackOff())
 			continue
 		}
 		b.Reset()
+		tried = false
 		l := &link{conn: conn, name: w.Name, incarnation: w.Incarnation}
 		log.WithField("entry_incarnation", w.Incarnation).Info("connected to the entry")
 		err = a.serveLink(l)
--- a/agent/registration.go
+++ b/agent/registration.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if r := parseRegistration(row.Value); r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
-		a.log.WithField("registered", r.Incarnation).Error("this agent is not registered any more; it takes no tasks until it is restarted")
+		a.log.WithField("registered", r.Incarnation).Error("another process has registered for this worker, or it was retired; this agent takes no tasks until it is restarted")
 		a.post(replaced{})
 	}
 }
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.out, "worker %s is retired\n", name)
+	fmt.Fprintf(e.out, "worker %s is retired; an agent that still runs there takes no new tasks once it notices, within 36 s\n", name)
 	return nil
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -31,6 +31,7 @@
 	queued     tally.Gauge
 	jobs       tally.Gauge
 	agents     tally.Gauge
+	ejected    tally.Gauge
 	roster     tally.Gauge
 	config     tally.Gauge
 }
@@ -50,7 +51,7 @@
 		retries: s.Counter("task_retries_total"), settles: s.Counter("settle_messages_total"), loads: s.Counter("load_messages_total"),
 		fences: s.Counter("fence_messages_total"), forwards: s.Counter("forward_messages_total"),
 		agentsLost: s.Counter("agent_connections_lost_total"), logDropped: s.Counter("log_lines_dropped_total"),
-		queued: s.Gauge("queued_tasks"), jobs: s.Gauge("jobs_in_progress"), agents: s.Gauge("agents_connected"),
+		queued: s.Gauge("queued_tasks"), jobs: s.Gauge("jobs_in_progress"), agents: s.Gauge("agents_connected"), ejected: s.Gauge("agents_ejected"),
 		roster: s.Gauge("roster_version"), config: s.Gauge("config_version"),
 	}
 }
@@ -88,6 +89,13 @@
 			c.push(ag)
 		}
 	}
+	ejected := 0
+	for _, st := range c.placement.Agents(c.now()) {
+		if st.Ejected {
+			ejected++
+		}
+	}
+	m.ejected.Update(float64(ejected))
 	m.queued.Update(float64(c.queue.Len()))
 	m.jobs.Update(float64(c.jobs.Running()))
 	m.agents.Update(float64(connected))
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -64,6 +64,9 @@
 		if _, old := e.health.get(); err != nil && old == nil {
 			e.log.WithError(err).Warn("cannot read the roster; requests continue with the last one")
 		}
+		if seen, old := e.health.get(); err == nil && old != nil && !seen.IsZero() {
+			e.log.Info("the roster is read again")
+		}
 		e.health.note(e.clock.now(), err)
 		select {
 		case <-ctx.Done():
--- a/entry/status.go
+++ b/entry/status.go
@@ -26,7 +26,7 @@
 	if !seen.IsZero() {
 		s.PlatformSeen = seen.UTC().Format(time.RFC3339)
 	}
-	s.WhatToDo = append(s.WhatToDo, advice(s)...)
+	s.WhatToDo = append(advice(s), s.WhatToDo...)
 	if len(s.WhatToDo) == 0 {
 		s.WhatToDo = []string{"nothing"}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -73,7 +73,10 @@
 		code, message = h.Code, fmt.Sprint(h.Message)
 	}
 	reason := api.ReasonInternal
-	if code < http.StatusInternalServerError {
+	switch {
+	case code == http.StatusUnauthorized:
+		reason = api.ReasonUnauthorized
+	case code < http.StatusInternalServerError:
 		reason = api.ReasonMalformed
 	}
 	_ = c.JSON(code, &api.Answer{State: api.StateDone, Verdict: api.Failed, Ran: api.RanMaybe, Reason: reason, Message: message})
