Refuse a job when the queue of the entry is full; wait for backend servers in the demo

Cause: found by reading. Admission bounds the waiting tasks of each service, the queue those of all; with several services the queue could drop tasks of an admitted job. Separately, one start of make serve failed with no_worker, since the demo waited for agents and not for their backend servers.

Change: the entry compares the whole queue with max_queued_tasks first; the demo counts workers that serve something and are not leaving.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -15,6 +15,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/client"
+	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/settings"
 )
 
@@ -132,8 +133,7 @@
 				return false
 			}
 			b, err := c.Fetch(ctx, "/v1/workers")
-			var workers []json.RawMessage
-			return err == nil && json.Unmarshal(b, &workers) == nil && len(workers) >= f.workers
+			return err == nil && serving(b) >= f.workers
 		})
 		if err != nil {
 			return err
@@ -142,6 +142,21 @@
 	return nil
 }
 
+// serving counts the workers whose backend servers are up.
+func serving(list []byte) int {
+	var workers []ingress.Worker
+	if json.Unmarshal(list, &workers) != nil {
+		return 0
+	}
+	n := 0
+	for _, w := range workers {
+		if len(w.Services) > 0 && !w.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // submit returns the number of tasks of a complete job, or 0 for a failed one.
 func (f *demoFlags) submit(ctx context.Context, e *env, entries []string, tokens map[string]string, file string) (int, error) {
 	s, err := readSubmission(e, file)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -93,6 +93,13 @@
 		v.RetryAfter = time.Second
 		return v, class
 	}
+	// Admission bounds the waiting tasks of one service; the queue holds those of
+	// all services and would drop what goes beyond.
+	if c.queue.Len()+len(s.Tasks) > c.e.o.Settings.MaxQueuedTasks {
+		v := api.Refuse(api.ReasonOverload, "the queue of the entry is full")
+		v.RetryAfter = time.Second
+		return v, class
+	}
 	supply := c.placement.Supply(s.Service)
 	if supply.Slots == 0 {
 		supply.Slots = c.lostSlots(s.Service)
