--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -35,7 +35,7 @@
 bin/sesamelift slope sheet -agents 890 >"$dir/sheet.csv"
 bin/sesamelift sheet apply -platform 127.0.0.1:19300 -timeout 0s "$dir/sheet.csv" >/dev/null
 
-for agents in ${AGENTS:-11 100 400 890}; do
+for agents in ${AGENTS-11 100 400 890}; do
 	start "entry-$agents" bin/sesamelift-entry -settings "$dir/entry.json"
 	entry=$last
 	sleep 2
@@ -45,7 +45,7 @@
 done
 
 start backend bin/sesamelift standin backend -name cleft-01 -services cleft-assessor -address 127.0.0.1:19601 -agent 127.0.0.1:19501
-for rate in ${RATES:-95 200}; do
+for rate in ${RATES-95 200}; do
 	start "agent-$rate" bin/sesamelift-agent -settings "$dir/agent.json"
 	agent=$last
 	bin/sesamelift slope agent -pid "$agent" -platform 127.0.0.1:19300 -certs "$dir/certs" -tasks-per-second "$rate" -duration "${DURATION:-20s}"
