Send no packet size probes on idle connections

Cause: scripts/capacity.sh showed 6.9 KB/s in each direction at an entry with 100 idle agents, against a budget of 5 KB/s with 890. Each idle packet brought a path MTU probe of 1,400 bytes until the search ended.

Change: path MTU discovery is off; packets stay at the initial size. bench and slope end at the first signal, which they ignored before.

Ruled out: a longer idle probe interval, which delays the detection of lost connections and was not the cause.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -57,6 +59,8 @@
 	}
 	for _, x := range externals() {
 		if len(args) > 0 && args[0] == x.name {
+			// They take no context: a signal ends them, unless they handle it.
+			signal.Reset(os.Interrupt, syscall.SIGTERM)
 			return x.run(args[1:], out, errOut)
 		}
 	}
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -41,6 +41,9 @@
 		MaxConnectionReceiveWindow:     2 * maxStreamWindow,
 		MaxIncomingStreams:             maxCalls,
 		MaxIncomingUniStreams:          -1,
+		// Each packet on an idle connection would bring a probe of 1,400 bytes
+		// until the search for the path's packet size ends, some ten probes later.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
