Test the command line; add sesamelift key

Cause: the commands had no tests, and the README used a key generator that many systems lack.

Change: tables for usage errors, help, exit codes of verdicts and the next entry after one that is down or not ready; sesamelift key prints a key for callers that use HTTP directly.

Measured: go test ./cli passes.

Conclusion: scripts can rely on the documented exit codes.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -98,7 +98,7 @@
 		Exec:    func(context.Context, []string) error { return usageError{errors.New("a command is missing")} },
 	}
 	root.Subcommands = []*ffcli.Command{
-		submitCommand(e), jobCommand(e, "status"), jobCommand(e, "cancel"), workersCommand(e),
+		submitCommand(e), keyCommand(e), jobCommand(e, "status"), jobCommand(e, "cancel"), workersCommand(e),
 		drainCommand(e), demoCommand(e), certsCommand(e), settingsCommand(e), versionCommand(e),
 	}
 	for _, x := range externals() {
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,122 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/client"
+)
+
+func runCommand(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = Run(context.Background(), args, strings.NewReader(""), &o, &e, false)
+	return code, o.String(), e.String()
+}
+
+func writeFile(t *testing.T, content string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "job.json")
+	qt.Assert(t, os.WriteFile(file, []byte(content), 0o600), qt.IsNil)
+	return file
+}
+
+const validJob = `{"service":"dispatch","type":"quote","team":"taxis","tasks":[{"n":1}]}`
+
+// Guards against usage errors without a message or with an exit code that
+// scripts take for success.
+func TestUsage(t *testing.T) {
+	many := `{"service":"dispatch","type":"quote","team":"taxis","tasks":[` + strings.Repeat("1,", 170) + `1]}`
+	for _, tc := range []struct {
+		name string
+		args []string
+		code int
+		out  string
+	}{
+		{"no command", nil, ExitUsage, "a command is missing"},
+		{"unknown command", []string{"sumbit"}, ExitUsage, "Run `sesamelift help`"},
+		{"unknown help", []string{"help", "sumbit"}, ExitUsage, `unknown command "sumbit"`},
+		{"help", []string{"help"}, ExitOK, "submit"},
+		{"version", []string{"version"}, ExitOK, "sesamelift "},
+		{"no file", []string{"submit"}, ExitUsage, "submit takes one file"},
+		{"missing file", []string{"submit", "none.json"}, ExitUsage, "no such file"},
+		{"malformed job", []string{"submit", writeFile(t, `{"service":`)}, ExitUsage, "unexpected EOF"},
+		{"unknown field", []string{"submit", writeFile(t, `{"servce":"x"}`)}, ExitUsage, `unknown field "servce"`},
+		{"171 tasks", []string{"submit", writeFile(t, many)}, ExitUsage, "171 tasks, the limit is 170"},
+		{"bad key", []string{"submit", "-key", "x", writeFile(t, validJob)}, ExitUsage, "not a UUID"},
+		{"cancel without key", []string{"cancel"}, ExitUsage, "cancel takes one key"},
+		{"drain without worker", []string{"drain"}, ExitUsage, "drain takes one worker"},
+		{"settings", []string{"settings", "check", "entry", writeFile(t, `{"name":"A"}`)}, ExitUsage, "is not a name"},
+		{"no entry", []string{"status", "-entries", "127.0.0.1:1"}, ExitError, "no entry could be reached"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			code, out, errOut := runCommand(t, tc.args...)
+			qt.Assert(t, code, qt.Equals, tc.code, qt.Commentf("%s", errOut))
+			qt.Assert(t, out+errOut, qt.Contains, tc.out)
+		})
+	}
+}
+
+// Guards against a command without help.
+func TestEveryCommandHasHelp(t *testing.T) {
+	for _, c := range newRoot(&env{out: &bytes.Buffer{}, err: &bytes.Buffer{}}).Subcommands {
+		code, out, _ := runCommand(t, "help", c.Name)
+		qt.Assert(t, code, qt.Equals, ExitOK)
+		qt.Assert(t, out, qt.Contains, "sesamelift "+c.Name)
+		qt.Assert(t, c.ShortHelp, qt.Not(qt.Equals), "", qt.Commentf("%s", c.Name))
+	}
+}
+
+// fakeEntry answers every request with the status and answer.
+func fakeEntry(t *testing.T, status int, a api.Answer) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = a.Key.UnmarshalText([]byte(r.Header.Get(client.KeyHeader)))
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(a)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against an exit code that hides whether a job may have run.
+func TestExitCodeOfVerdict(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		answer api.Answer
+		code   int
+	}{
+		{"complete", api.Answer{State: api.StateDone, Verdict: api.Complete, Ran: api.RanYes}, ExitOK},
+		{"not run", *api.Refuse(api.ReasonOverload, "busy").Answer(api.Key{}, false), ExitNotRun},
+		{"may have run", *api.Fail(api.RanMaybe, api.ReasonTaskInDoubt, "lost").Answer(api.Key{}, false), ExitMayHaveRun},
+		{"ran", *api.Fail(api.RanYes, api.ReasonTaskFailed, "failed").Answer(api.Key{}, false), ExitMayHaveRun},
+		{"wrong token", *api.Fail(api.RanMaybe, api.ReasonUnauthorized, "token").Answer(api.Key{}, false), ExitError},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			entry := fakeEntry(t, http.StatusOK, tc.answer)
+			code, out, errOut := runCommand(t, "submit", "-json", "-entries", entry, writeFile(t, validJob))
+			qt.Assert(t, code, qt.Equals, tc.code, qt.Commentf("%s", errOut))
+			qt.Assert(t, json.Valid([]byte(out)), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a caller that gives up when one entry is down or not ready,
+// although the same key may be submitted at any other.
+func TestSubmitAsksTheNextEntry(t *testing.T) {
+	notReady := fakeEntry(t, http.StatusServiceUnavailable, *api.Fail(api.RanMaybe, api.ReasonNotReady, "starting").Answer(api.Key{}, false))
+	ready := fakeEntry(t, http.StatusOK, api.Answer{State: api.StateDone, Verdict: api.Complete, Ran: api.RanYes})
+	code, out, errOut := runCommand(t, "submit", "-entries", "127.0.0.1:1,"+notReady+","+ready, writeFile(t, validJob))
+	qt.Assert(t, code, qt.Equals, ExitOK, qt.Commentf("%s", errOut))
+	qt.Assert(t, out, qt.Contains, "complete")
+}
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -92,6 +92,19 @@
 	return api.ParseKey(s)
 }
 
+func keyCommand(e *env) *ffcli.Command {
+	fs := flag.NewFlagSet("key", flag.ContinueOnError)
+	return newCommand("key", "key", "print a new idempotency key",
+		"For callers that use HTTP directly.\n\nExample:\n  sesamelift key", fs,
+		func(context.Context, []string) error {
+			key, err := api.NewKey()
+			if err == nil {
+				fmt.Fprintln(e.out, key)
+			}
+			return err
+		})
+}
+
 // showProgress prints a progress line on a terminal for jobs that take long. The
 // returned function stops it.
 func (e *env) showProgress(ctx context.Context, c *client.Client, key api.Key) func() {
