--- a/settings/types.go
+++ b/settings/types.go
@@ -80,7 +80,9 @@
 	// Connections bounds the connections to the backend server.
 	Connections int `json:"connections" default:"64" min:"1" max:"4096"`
 	// EntryFanout bounds the entries that the agent connects to; 0 means all.
-	EntryFanout int `json:"entry_fanout" default:"0" min:"0" max:"1024"`
+	// Other values are not allowed yet: an entry fences a former owner at every
+	// agent and can reach only those that are connected to it.
+	EntryFanout int `json:"entry_fanout" default:"0" min:"0" max:"0"`
 	// HealthIntervalMS is the time between health checks of the backend server,
 	// in milliseconds.
 	HealthIntervalMS int `json:"health_interval_ms" default:"1000" min:"50" max:"60000"`
