Print JSON from every command that prints

Cause: version, key, certs and settings had no -json.

Change: they have it now; settings check lists each file with its faults.

Measured: go test ./cli ./settings passes.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -165,9 +165,18 @@
 
 func versionCommand(e *env) *ffcli.Command {
 	fs := flag.NewFlagSet("version", flag.ContinueOnError)
-	return newCommand("version", "version", "print the version", "Example:\n  sesamelift version", fs,
+	asJSON := fs.Bool("json", false, "print JSON")
+	return newCommand("version", "version [-json]", "print the version", "Example:\n  sesamelift version", fs,
 		func(context.Context, []string) error {
-			fmt.Fprintln(e.out, "sesamelift "+version.String())
-			return nil
+			return e.printValue("version", version.String(), "sesamelift "+version.String(), *asJSON)
 		})
 }
+
+// printValue prints one value, as text or as a JSON object with one field.
+func (e *env) printValue(field, value, text string, asJSON bool) error {
+	if asJSON {
+		return e.printJSON(map[string]string{field: value})
+	}
+	_, err := fmt.Fprintln(e.out, text)
+	return err
+}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -57,6 +57,8 @@
 		{"cancel without key", []string{"cancel"}, ExitUsage, "cancel takes one key"},
 		{"drain without worker", []string{"drain"}, ExitUsage, "drain takes one worker"},
 		{"settings", []string{"settings", "check", "entry", writeFile(t, `{"name":"A"}`)}, ExitUsage, "is not a name"},
+		{"settings as JSON", []string{"settings", "-json", "check", "agent", writeFile(t, `{"name":"A"}`)}, ExitUsage, `"field": "name"`},
+		{"version as JSON", []string{"version", "-json"}, ExitOK, `"version"`},
 		{"no entry", []string{"status", "-entries", "127.0.0.1:1"}, ExitError, "no entry could be reached"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -94,14 +94,15 @@
 
 func keyCommand(e *env) *ffcli.Command {
 	fs := flag.NewFlagSet("key", flag.ContinueOnError)
-	return newCommand("key", "key", "print a new idempotency key",
+	asJSON := fs.Bool("json", false, "print JSON")
+	return newCommand("key", "key [-json]", "print a new idempotency key",
 		"For callers that use HTTP directly.\n\nExample:\n  sesamelift key", fs,
 		func(context.Context, []string) error {
 			key, err := api.NewKey()
-			if err == nil {
-				fmt.Fprintln(e.out, key)
+			if err != nil {
+				return err
 			}
-			return err
+			return e.printValue("key", key.String(), key.String(), *asJSON)
 		})
 }
 
--- a/cli/local.go
+++ b/cli/local.go
@@ -15,47 +15,79 @@
 func certsCommand(e *env) *ffcli.Command {
 	fs := flag.NewFlagSet("certs", flag.ContinueOnError)
 	dir := fs.String("dir", "run/certs", "directory to write to")
+	asJSON := fs.Bool("json", false, "print JSON")
 	return newCommand("certs", "certs [-dir DIR]", "create certificates for demos and tests",
 		"Writes a CA and one certificate for each role. They end after 30 days; a real deployment uses\nits own CA.\n\nExample:\n  sesamelift certs -dir run/certs",
 		fs, func(context.Context, []string) error {
 			if err := transport.WriteDevCertificates(*dir); err != nil {
 				return err
 			}
-			fmt.Fprintf(e.out, "certificates written to %s\n", *dir)
-			return nil
+			return e.printValue("directory", *dir, "certificates written to "+*dir, *asJSON)
 		})
 }
 
 func settingsCommand(e *env) *ffcli.Command {
 	fs := flag.NewFlagSet("settings", flag.ContinueOnError)
-	return newCommand("settings", "settings check entry|agent FILE...", "check settings files",
+	asJSON := fs.Bool("json", false, "print JSON")
+	return newCommand("settings", "settings [-json] check entry|agent FILE...", "check settings files",
 		"Reports every fault of each file with its line.\n\nExample:\n  sesamelift settings check entry examples/cleft/entry-1.json",
 		fs, func(_ context.Context, args []string) error {
 			if len(args) < 3 || args[0] != "check" || args[1] != "entry" && args[1] != "agent" {
 				return usageError{errors.New("settings takes: check entry|agent FILE...")}
 			}
-			return checkSettings(e, args[1], args[2:])
+			return checkSettings(e, args[1], args[2:], *asJSON)
 		})
 }
 
-func checkSettings(e *env, kind string, files []string) error {
+// checkedFile is the result for one settings file.
+type checkedFile struct {
+	File   string           `json:"file"`
+	OK     bool             `json:"ok"`
+	Faults []settings.Fault `json:"faults,omitempty"`
+}
+
+func checkSettings(e *env, kind string, files []string, asJSON bool) error {
+	var checked []checkedFile
 	failed := false
 	for _, file := range files {
-		var err error
-		if kind == "entry" {
-			err = settings.Read(file, &settings.Entry{})
-		} else {
-			err = settings.Read(file, &settings.Agent{})
-		}
-		if err != nil {
-			fmt.Fprintln(e.err, err)
-			failed = true
-			continue
+		c := checkFile(kind, file)
+		failed = failed || !c.OK
+		checked = append(checked, c)
+	}
+	if asJSON {
+		if err := e.printJSON(checked); err != nil {
+			return err
 		}
-		fmt.Fprintf(e.out, "%s: ok\n", file)
+	} else {
+		printChecked(e, checked)
 	}
 	if failed {
 		return exitError(ExitUsage)
 	}
 	return nil
 }
+
+func checkFile(kind, file string) checkedFile {
+	var err error
+	if kind == "entry" {
+		err = settings.Read(file, &settings.Entry{})
+	} else {
+		err = settings.Read(file, &settings.Agent{})
+	}
+	var faults settings.FaultsError
+	if err != nil && !errors.As(err, &faults) {
+		faults = settings.FaultsError{{File: file, Message: err.Error()}}
+	}
+	return checkedFile{File: file, OK: err == nil, Faults: faults}
+}
+
+func printChecked(e *env, checked []checkedFile) {
+	for _, c := range checked {
+		if c.OK {
+			fmt.Fprintf(e.out, "%s: ok\n", c.File)
+		}
+		for _, f := range c.Faults {
+			fmt.Fprintln(e.err, f.Error())
+		}
+	}
+}
--- a/settings/read.go
+++ b/settings/read.go
@@ -22,11 +22,11 @@
 
 // Fault is one thing wrong with a settings file.
 type Fault struct {
-	File string
+	File string `json:"file"`
 	// Line is 1 for the first line, 0 where no line is known.
-	Line    int
-	Field   string
-	Message string
+	Line    int    `json:"line,omitempty"`
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
 }
 
 // Error implements error.
