Take a newer configuration from a peer

Cause: an entry that reaches its peers but not the platform kept its old configuration; the watcher could take one from a peer, but nothing called it.

Change: an entry that sees a newer version in a Pong asks that peer for it.

Ruled out: sending the whole configuration with each ping, 57 KB at 890 workers.

Measured: TestConfigurationFromPeer fails without the call (15 s without version 2) and passes 5 of 5 runs with it and the race detector; make check passes in 47 s.

Conclusion: a version reaches such an entry within the ping interval of 2 s.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -383,3 +383,18 @@
 	code, ans := n.submit(newKey(t), job(1))
 	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanNo})
 }
+
+// Guards against an entry that keeps an old configuration because it can reach
+// its peers but not the platform.
+func TestConfigurationFromPeer(t *testing.T) {
+	t.Parallel()
+	c, e1, e2, _ := pair(t, ok)
+	e2.link.cut.Store(true)
+	row, err := c.platform.Get(context.Background(), platform.RowConfig)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.platform.CompareAndSet(context.Background(), platform.RowConfig, row.Version, drained(t, row.Value))
+	qt.Assert(t, err, qt.IsNil)
+	for _, n := range []*node{e1, e2} {
+		eventually(t, "version 2 is in effect", func() bool { return n.Status(context.Background()).ConfigVersion == 2 })
+	}
+}
--- a/entry/configwatch.go
+++ b/entry/configwatch.go
@@ -6,7 +6,8 @@
 
 	"github.com/sesamelift/sesamelift/admission"
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/config/watch"
+	"github.com/sesamelift/sesamelift/transport"
+	"github.com/sesamelift/sesamelift/wire"
 )
 
 // configLoop keeps the configuration current and hands each version to the core
@@ -15,10 +16,7 @@
 	versions, cancel := e.config.Subscribe()
 	defer cancel()
 	done := make(chan error, 1)
-	w := watch.New(watch.Options{
-		Table: e.o.Platform, Holder: &e.config, Name: e.self.Name, Incarnation: e.self.Incarnation, Log: e.log,
-	})
-	go func() { done <- w.Run(ctx) }()
+	go func() { done <- e.watcher.Run(ctx) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -31,6 +29,34 @@
 
 func (e *Entry) configVersion() uint64 { return e.config.Version() }
 
+// fetchConfig takes a newer configuration from a peer. An entry that cannot
+// reach the platform gets each version within the ping interval this way.
+func (e *Entry) fetchConfig(ctx context.Context, conn *transport.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	m, err := conn.Call(ctx, &wire.Forward{Op: wire.OpConfig})
+	reply, ok := m.(*wire.ForwardReply)
+	if err != nil || !ok {
+		return
+	}
+	if _, err := e.watcher.Offer(reply.Answer); err != nil {
+		e.log.WithError(err).Warn("a peer sent an invalid configuration")
+	}
+}
+
+// configReply answers OpConfig.
+func (e *Entry) configReply() wire.Message {
+	c := e.config.Current()
+	if c == nil {
+		return nil
+	}
+	b, err := config.Encode(c)
+	if err != nil {
+		return nil
+	}
+	return &wire.ForwardReply{Answer: b}
+}
+
 // setConfig puts a version into effect here and sends it to the agents.
 func (c *core) setConfig(cfg *config.Config) {
 	if cfg.Version <= c.config.Version {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/config/watch"
 	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/platform"
@@ -67,6 +68,7 @@
 	http     net.Listener
 	ingress  *ingress.Server
 	config   config.Holder
+	watcher  *watch.Watcher
 	events   chan event
 	requests chan *request
 	metrics  *metrics
@@ -104,6 +106,9 @@
 		Name: s.Name, Incarnation: rand.Uint64() | 1, PeerAddr: l.Addr(), CallerAddr: h.Addr().String(), Zone: s.Zone,
 	}
 	e.peers.init(e)
+	e.watcher = watch.New(watch.Options{
+		Table: o.Platform, Holder: &e.config, Name: s.Name, Incarnation: e.self.Incarnation, Log: e.log,
+	})
 	e.notReady.Store("starting: the platform has not been reached yet")
 	e.ingress = ingress.New(ingress.Options{
 		Service: e, OperatorToken: s.OperatorToken, TeamTokens: s.TeamTokens, RequestsPerSecond: s.CallerRequestsPerSecond,
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,10 +70,24 @@
 type node struct {
 	t testing.TB
 	*Entry
+	link  *platformLink
 	stop  context.CancelFunc
 	ended chan error
 }
 
+// platformLink is one entry's way to the platform.
+type platformLink struct {
+	platform.Platform
+	cut atomic.Bool
+}
+
+func (l *platformLink) Get(ctx context.Context, key string) (platform.Row, error) {
+	if l.cut.Load() {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return l.Platform.Get(ctx, key)
+}
+
 // start runs an entry until it is ready.
 func (c *cluster) start(name string) *node {
 	c.t.Helper()
@@ -88,18 +103,19 @@
 	if testing.Verbose() {
 		log.SetOutput(c.t.Output())
 	}
+	link := &platformLink{Platform: c.platform}
 	e, err := New(Options{
 		Settings: &settings.Entry{
 			Name: name, Zone: "salalah-kiln", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 			OperatorToken: operatorToken, TeamTokens: map[string]string{"kiln": teamToken, "press": otherToken},
 			Policy: "estimate", MaxQueuedTasks: 1000, MaxAnswerBytes: 1 << 20, CallerRequestsPerSecond: 1000, DrainTimeoutMS: 5000,
 		},
-		Credentials: c.entryTLS, Platform: c.platform, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
+		Credentials: c.entryTLS, Platform: link, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
 		Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	qt.Assert(c.t, err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
-	n := &node{t: c.t, Entry: e, stop: stop, ended: make(chan error, 1)}
+	n := &node{t: c.t, Entry: e, link: link, stop: stop, ended: make(chan error, 1)}
 	go func() { n.ended <- e.Run(ctx) }()
 	c.t.Cleanup(func() {
 		stop()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -158,6 +158,9 @@
 		if pong.RosterVersion > version {
 			signal(p.changed)
 		}
+		if pong.ConfigVersion > p.e.configVersion() {
+			p.e.fetchConfig(ctx, conn)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -311,6 +314,9 @@
 		}
 		return &wire.Pong{Seq: m.Seq, RosterVersion: version, ConfigVersion: p.e.configVersion()}
 	case *wire.Forward:
+		if m.Op == wire.OpConfig {
+			return p.e.configReply()
+		}
 		return p.forwarded(ctx, m)
 	case *wire.Handover:
 		return p.handover(ctx, m)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -254,6 +254,9 @@
 	OpSubmit = "submit"
 	OpGet    = "get"
 	OpCancel = "cancel"
+	// OpConfig asks a peer for the configuration in effect there, in the form of
+	// its row. Key, Submission and the deadline are not used.
+	OpConfig = "config"
 )
 
 // Forward carries a request to the owner of a key. It is idempotent by key.
