--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -324,3 +324,28 @@
 	code, ans := n.submit(newKey(t), job(1))
 	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanMaybe})
 }
+
+// Guards against an admitted job that loses tasks because the queue holds the
+// tasks of all services, while admission bounds each service.
+func TestQueueOfEntryFull(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.agent("w1", 11, func(*wire.Start) *wire.Result { return nil })
+	a.connect(n, "")
+	_, asked := ask(context.Background(), n.Entry, func(c *core) bool {
+		c.e.o.Settings.MaxQueuedTasks = 15
+		return true
+	})
+	qt.Assert(t, asked, qt.IsTrue)
+	first := n.submitLater(newKey(t), job(10))
+	a.waitHeld(8)
+	code, ans := n.submit(newKey(t), job(14))
+	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{503, api.ReasonOverload, api.RanNo})
+	qt.Assert(t, ans.Message, qt.Contains, "the queue of the entry is full")
+	a.mu.Lock()
+	a.run = ok
+	a.mu.Unlock()
+	a.finish("e1")
+	qt.Assert(t, (<-first).code, qt.Equals, 200)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,7 +15,8 @@
 
 const (
 	// A peer is pinged every minPingInterval; with many peers less often, up to
-	// maxPingInterval at 20, so that the pings of an entry stay below 5 KB/s.
+	// maxPingInterval at 20, so that the pings of an entry stay below 5 KB/s
+	// by estimate (200 bytes a ping and reply).
 	minPingInterval = time.Second
 	maxPingInterval = 2 * time.Second
 	pingsPerSecond  = 10
--- a/settings/types.go
+++ b/settings/types.go
@@ -50,7 +50,7 @@
 	DrainTimeoutMS int `json:"drain_timeout_ms" default:"60000" min:"0" max:"600000"`
 	// Processors bounds the processors in use; 0 means all. A task passes through
 	// six goroutines of an agent, and waking one on another processor costs more
-	// than what it does: at 95 tasks/s one processor used a third less time than
+	// than what it does: at 95 tasks/s one processor used a quarter less time than
 	// ten.
 	Processors int     `json:"processors" default:"1" min:"0" max:"1024"`
 	Logging    Logging `json:"logging"`
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -41,8 +41,8 @@
 		MaxConnectionReceiveWindow:     2 * maxStreamWindow,
 		MaxIncomingStreams:             maxCalls,
 		MaxIncomingUniStreams:          -1,
-		// Each packet on an idle connection would bring a probe of 1,400 bytes
-		// until the search for the path's packet size ends, some ten probes later.
+		// With discovery on, 100 idle connections carried 6.9 KB/s in each direction
+		// over their first 40 s, against 0.3 KB/s without.
 		DisablePathMTUDiscovery: true,
 	}
 }
