--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,8 +28,8 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/sesamelift/sesamelift/backend"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 )
 
@@ -53,7 +53,7 @@
 type Options struct {
 	Settings    *settings.Agent
 	Credentials *transport.Credentials
-	Platform    platform.Platform
+	Platform    table.Platform
 	Log         *logrus.Entry
 	// Metrics may be nil.
 	Metrics tally.Scope
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -16,8 +16,8 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -61,7 +61,7 @@
 // registration that is written twice or not at all when a reply is lost.
 func TestAgentWithoutPlatformWaits(t *testing.T) {
 	r := newRig(t)
-	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.put(table.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
 	r.platform.SetFaults(standin.PlatformFaults{Unavailable: true})
 	r.run()
 	time.Sleep(300 * time.Millisecond)
@@ -260,7 +260,7 @@
 	r := newRig(t)
 	relay := newRelay(t, r.entry.listener.Addr())
 	roster := &ownership.Roster{Members: []ownership.Member{{Name: "e1", Incarnation: 101, PeerAddr: relay.addr()}}}
-	r.put(platform.RowRoster, roster)
+	r.put(table.RowRoster, roster)
 	r.ready()
 	k := r.key()
 	r.entry.start(k, 0, `"wait"`)
@@ -438,7 +438,7 @@
 func TestReplacedAgentTakesNoTasks(t *testing.T) {
 	r := newRig(t)
 	r.ready()
-	r.put(platform.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
+	r.put(table.PrefixAgents+"w1", ownership.Registration{Worker: "w1", Incarnation: 7})
 	r.agent.checkRegistration(context.Background())
 	r.entry.start(r.key(), 0, `1`)
 	qt.Assert(t, next[*wire.Result](r.entry).Reason, qt.Equals, "leaving")
--- a/agent/fakes_test.go
+++ b/agent/fakes_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
@@ -184,14 +184,14 @@
 // put writes a row as another process would and returns its version.
 func (r *rig) put(key string, v any) uint64 {
 	r.t.Helper()
-	row, err := platform.Update(context.Background(), r.platform, key, "", func([]byte) ([]byte, error) { return json.Marshal(v) })
+	row, err := table.Update(context.Background(), r.platform, key, "", func([]byte) ([]byte, error) { return json.Marshal(v) })
 	qt.Assert(r.t, err, qt.IsNil)
 	return row.Version
 }
 
 func (r *rig) registration() ownership.Registration {
 	r.t.Helper()
-	row, err := r.platform.Get(context.Background(), platform.PrefixAgents+"w1")
+	row, err := r.platform.Get(context.Background(), table.PrefixAgents+"w1")
 	qt.Assert(r.t, err, qt.IsNil)
 	return parseRegistration(row.Value)
 }
@@ -219,7 +219,7 @@
 			Name: "e" + string(rune('1'+i)), Incarnation: e.incarnation, PeerAddr: e.listener.Addr(),
 		})
 	}
-	roster.Version = r.put(platform.RowRoster, roster)
+	roster.Version = r.put(table.RowRoster, roster)
 	return roster
 }
 
--- a/agent/registration.go
+++ b/agent/registration.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const (
@@ -68,7 +68,7 @@
 	return false
 }
 
-func (a *Agent) registrationKey() string { return platform.PrefixAgents + a.settings.Name }
+func (a *Agent) registrationKey() string { return table.PrefixAgents + a.settings.Name }
 
 // parseRegistration returns the registration in a row. A row that cannot be
 // parsed counts as one of another incarnation.
@@ -83,9 +83,9 @@
 // register makes one attempt. It reads the row first, so that a write whose
 // reply was lost in an earlier attempt is found by its incarnation.
 func (a *Agent) register(ctx context.Context) error {
-	_, err := platform.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
+	_, err := table.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
 		if parseRegistration(old).Incarnation == a.incarnation {
-			return nil, platform.ErrUnchanged
+			return nil, table.ErrUnchanged
 		}
 		a.attempted.Store(true)
 		r := ownership.Registration{
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	row, err := a.options.Platform.Get(ctx, a.registrationKey())
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		return
 	}
 	if r := parseRegistration(row.Value); r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
@@ -118,10 +118,10 @@
 // markLeft sets LeftAt in the row of this incarnation.
 func (a *Agent) markLeft(ctx context.Context) error {
 	done := a.retry(ctx, "mark the registration as left", func(ctx context.Context) error {
-		_, err := platform.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
+		_, err := table.Update(ctx, a.options.Platform, a.registrationKey(), "", func(old []byte) ([]byte, error) {
 			r := parseRegistration(old)
 			if r.Incarnation != a.incarnation || !r.LeftAt.IsZero() {
-				return nil, platform.ErrUnchanged
+				return nil, table.ErrUnchanged
 			}
 			r.LeftAt = time.Now().UTC()
 			return json.Marshal(r)
@@ -135,8 +135,8 @@
 }
 
 func (a *Agent) readRoster(ctx context.Context) error {
-	row, err := a.options.Platform.Get(ctx, platform.RowRoster)
-	if errors.Is(err, platform.ErrNotFound) {
+	row, err := a.options.Platform.Get(ctx, table.RowRoster)
+	if errors.Is(err, table.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -16,9 +16,9 @@
 	"github.com/sesamelift/sesamelift/agent"
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/entry"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 )
 
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.CompareAndSet(c.ctx, platform.RowConfig, 0, b)
+	_, err = p.CompareAndSet(c.ctx, table.RowConfig, 0, b)
 	return errors.Wrap(err, "write the configuration")
 }
 
--- a/bench/relay.go
+++ b/bench/relay.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // aliases replaces addresses of entries by those of the relays in front of them.
@@ -39,44 +39,44 @@
 // gate is the platform as one entry sees it. Rosters that it writes name the
 // relays; when it is shut, the platform is unavailable for this entry.
 type gate struct {
-	platform.Platform
+	table.Platform
 	aliases *aliases
 	closed  atomic.Bool
 }
 
 func (g *gate) shut() { g.closed.Store(true) }
 
-// Get implements platform.Table.
-func (g *gate) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements table.Table.
+func (g *gate) Get(ctx context.Context, key string) (table.Row, error) {
 	if g.closed.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return table.Row{}, table.ErrUnavailable
 	}
 	return g.Platform.Get(ctx, key)
 }
 
-// List implements platform.Table.
-func (g *gate) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements table.Table.
+func (g *gate) List(ctx context.Context, prefix string) ([]table.Row, error) {
 	if g.closed.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, table.ErrUnavailable
 	}
 	return g.Platform.List(ctx, prefix)
 }
 
-// CompareAndSet implements platform.Table.
-func (g *gate) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (platform.Row, error) {
+// CompareAndSet implements table.Table.
+func (g *gate) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (table.Row, error) {
 	if g.closed.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return table.Row{}, table.ErrUnavailable
 	}
-	if key == platform.RowRoster {
+	if key == table.RowRoster {
 		value = g.aliases.apply(value)
 	}
 	return g.Platform.CompareAndSet(ctx, key, want, value)
 }
 
-// Delete implements platform.Table.
+// Delete implements table.Table.
 func (g *gate) Delete(ctx context.Context, key string, want uint64) error {
 	if g.closed.Load() {
-		return platform.ErrUnavailable
+		return table.ErrUnavailable
 	}
 	return g.Platform.Delete(ctx, key, want)
 }
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -16,8 +16,8 @@
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/sheet"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const defaultPlatform = "127.0.0.1:7300"
@@ -61,7 +61,7 @@
 			case len(args) > 0:
 				return usageError{errors.New("workers takes no arguments")}
 			case *retire != "":
-				return retireWorker(ctx, e, platform.NewClient(*addr), *retire)
+				return retireWorker(ctx, e, table.NewClient(*addr), *retire)
 			}
 			return listWorkers(ctx, e, conn.client(), *asJSON)
 		})
@@ -100,11 +100,11 @@
 }
 
 // retireWorker marks the registration of a worker as left.
-func retireWorker(ctx context.Context, e *env, p platform.Table, name string) error {
+func retireWorker(ctx context.Context, e *env, p table.Table, name string) error {
 	// Without an operation id the whole value decides about a lost reply, so the
 	// time is taken once.
 	now := time.Now()
-	_, err := platform.Update(ctx, p, platform.PrefixAgents+name, "", func(old []byte) ([]byte, error) {
+	_, err := table.Update(ctx, p, table.PrefixAgents+name, "", func(old []byte) ([]byte, error) {
 		if old == nil {
 			return nil, errors.Errorf("worker %q is not registered", name)
 		}
@@ -113,7 +113,7 @@
 			return nil, errors.Wrapf(err, "registration of worker %q", name)
 		}
 		if !r.LeftAt.IsZero() {
-			return nil, platform.ErrUnchanged
+			return nil, table.ErrUnchanged
 		}
 		r.LeftAt = now
 		return json.Marshal(r)
@@ -137,11 +137,11 @@
 			if len(args) != 1 {
 				return usageError{errors.New("drain takes one worker")}
 			}
-			return drainWorker(ctx, e, platform.NewClient(*addr), args[0], !*undo, *asJSON)
+			return drainWorker(ctx, e, table.NewClient(*addr), args[0], !*undo, *asJSON)
 		})
 }
 
-func drainWorker(ctx context.Context, e *env, p platform.Platform, name string, drain, asJSON bool) error {
+func drainWorker(ctx context.Context, e *env, p table.Platform, name string, drain, asJSON bool) error {
 	current, err := sheet.Current(ctx, p)
 	if err != nil {
 		return err
--- a/config/watch/watch.go
+++ b/config/watch/watch.go
@@ -1,7 +1,7 @@
 // Package watch keeps a config.Holder at the current version of the
 // configuration on the platform and reports the version in effect.
 //
-// Input: the row platform.RowConfig, versions from peers. Output: versions to
+// Input: the row table.RowConfig, versions from peers. Output: versions to
 // the Holder, a report row of this entry. State: none beyond the Holder. While
 // the platform is away the last version stays in effect.
 package watch
@@ -16,7 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 // Options are the options of New.
 type Options struct {
-	Table  platform.Table
+	Table  table.Table
 	Holder *config.Holder
 	// Name and Incarnation are those of this entry in the roster.
 	Name        string
@@ -44,7 +44,7 @@
 	Log *logrus.Entry
 }
 
-// Report is the value of platform.PrefixReports + name.
+// Report is the value of table.PrefixReports + name.
 type Report struct {
 	Name        string    `json:"name"`
 	Incarnation uint64    `json:"incarnation"`
@@ -112,7 +112,7 @@
 func (w *Watcher) poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	row, err := w.o.Table.Get(ctx, platform.RowConfig)
+	row, err := w.o.Table.Get(ctx, table.RowConfig)
 	if err != nil || bytes.Equal(row.Value, w.seen) {
 		return err
 	}
@@ -131,8 +131,8 @@
 // an outage differ in port numbers and count as one.
 func (w *Watcher) note(err error) {
 	trouble := ""
-	if errors.Is(err, platform.ErrUnavailable) {
-		trouble = platform.ErrUnavailable.Error()
+	if errors.Is(err, table.ErrUnavailable) {
+		trouble = table.ErrUnavailable.Error()
 	} else if err != nil {
 		trouble = err.Error()
 	}
@@ -177,10 +177,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode report")
 	}
-	_, err = platform.Update(ctx, w.o.Table, platform.PrefixReports+w.o.Name, "", func(old []byte) ([]byte, error) {
+	_, err = table.Update(ctx, w.o.Table, table.PrefixReports+w.o.Name, "", func(old []byte) ([]byte, error) {
 		var before Report
 		if json.Unmarshal(old, &before) == nil && before.Incarnation == r.Incarnation && before.Version >= r.Version {
-			return nil, platform.ErrUnchanged
+			return nil, table.ErrUnchanged
 		}
 		return value, nil
 	})
--- a/config/watch/watch_test.go
+++ b/config/watch/watch_test.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const interval = 10 * time.Millisecond
@@ -54,14 +54,14 @@
 	defer func() { cancel(); c.Check(<-done, qt.IsNil) }()
 	reported := func() uint64 {
 		var r Report
-		row, err := p.Get(ctx, platform.PrefixReports+"entry-1")
+		row, err := p.Get(ctx, table.PrefixReports+"entry-1")
 		if err != nil || json.Unmarshal(row.Value, &r) != nil || r.Incarnation != 7 {
 			return 0
 		}
 		return r.Version
 	}
 	set := func(want uint64, value []byte) {
-		_, err := p.CompareAndSet(ctx, platform.RowConfig, want, value)
+		_, err := p.CompareAndSet(ctx, table.RowConfig, want, value)
 		c.Assert(err, qt.IsNil)
 	}
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/version"
@@ -53,7 +53,7 @@
 // Runtime is what a daemon gets to run with.
 type Runtime struct {
 	Credentials    *transport.Credentials
-	Platform       platform.Platform
+	Platform       table.Platform
 	Log            *logrus.Entry
 	Metrics        tally.Scope
 	MetricsHandler http.Handler
@@ -142,7 +142,7 @@
 	}()
 	return supervise(func(drain, stop context.Context) error {
 		return d.Serve(drain, stop, Runtime{
-			Credentials: creds, Platform: platform.NewClient(s.PlatformAddress),
+			Credentials: creds, Platform: table.NewClient(s.PlatformAddress),
 			Log:     telemetry.NewLog(d.Name, s.Logging, out),
 			Metrics: scope, MetricsHandler: handler, Tracer: tracer,
 		})
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/wire"
 )
 
@@ -368,9 +368,9 @@
 	n := c.start("e1")
 	a := c.agent("w1", 11, ok)
 	a.connect(n, "")
-	row, err := c.platform.Get(context.Background(), platform.RowConfig)
+	row, err := c.platform.Get(context.Background(), table.RowConfig)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = c.platform.CompareAndSet(context.Background(), platform.RowConfig, row.Version, drained(t, row.Value))
+	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, drained(t, row.Value))
 	qt.Assert(t, err, qt.IsNil)
 	eventually(t, "the agent has version 2", func() bool {
 		a.mu.Lock()
@@ -390,9 +390,9 @@
 	t.Parallel()
 	c, e1, e2, _ := pair(t, ok)
 	e2.link.cut.Store(true)
-	row, err := c.platform.Get(context.Background(), platform.RowConfig)
+	row, err := c.platform.Get(context.Background(), table.RowConfig)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = c.platform.CompareAndSet(context.Background(), platform.RowConfig, row.Version, drained(t, row.Value))
+	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, drained(t, row.Value))
 	qt.Assert(t, err, qt.IsNil)
 	for _, n := range []*node{e1, e2} {
 		eventually(t, "version 2 is in effect", func() bool { return n.Status(context.Background()).ConfigVersion == 2 })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,8 +18,8 @@
 	"github.com/sesamelift/sesamelift/config/watch"
 	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 )
 
@@ -27,7 +27,7 @@
 type Options struct {
 	Settings       *settings.Entry
 	Credentials    *transport.Credentials
-	Platform       platform.Platform
+	Platform       table.Platform
 	Log            *logrus.Entry
 	Metrics        tally.Scope
 	MetricsHandler http.Handler
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -21,9 +21,9 @@
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ledger"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -61,7 +61,7 @@
 	}
 	b, err := config.Encode(cfg)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = c.platform.CompareAndSet(context.Background(), platform.RowConfig, 0, b)
+	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, 0, b)
 	qt.Assert(t, err, qt.IsNil)
 	return c
 }
@@ -77,13 +77,13 @@
 
 // platformLink is one entry's way to the platform.
 type platformLink struct {
-	platform.Platform
+	table.Platform
 	cut atomic.Bool
 }
 
-func (l *platformLink) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *platformLink) Get(ctx context.Context, key string) (table.Row, error) {
 	if l.cut.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return table.Row{}, table.ErrUnavailable
 	}
 	return l.Platform.Get(ctx, key)
 }
@@ -227,7 +227,7 @@
 	}
 	reg := ownership.Registration{Worker: worker, Incarnation: incarnation, Addr: "127.0.0.1:1", Zone: "salalah-kiln"}
 	b, _ := json.Marshal(reg)
-	_, err := platform.Update(context.Background(), c.platform, platform.PrefixAgents+worker, "", func([]byte) ([]byte, error) { return b, nil })
+	_, err := table.Update(context.Background(), c.platform, table.PrefixAgents+worker, "", func([]byte) ([]byte, error) { return b, nil })
 	qt.Assert(c.t, err, qt.IsNil)
 	return a
 }
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -12,7 +12,7 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const (
@@ -110,8 +110,8 @@
 }
 
 func (e *Entry) readRoster(ctx context.Context) (*ownership.Roster, error) {
-	row, err := e.o.Platform.Get(ctx, platform.RowRoster)
-	if errors.Is(err, platform.ErrNotFound) {
+	row, err := e.o.Platform.Get(ctx, table.RowRoster)
+	if errors.Is(err, table.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -138,7 +138,7 @@
 // by reading back the operation id.
 func (e *Entry) updateRoster(ctx context.Context, change func(r *ownership.Roster, op string) *ownership.Roster) (*ownership.Roster, error) {
 	op := uuid.NewString()
-	row, err := platform.Update(ctx, e.o.Platform, platform.RowRoster, op, func(old []byte) ([]byte, error) {
+	row, err := table.Update(ctx, e.o.Platform, table.RowRoster, op, func(old []byte) ([]byte, error) {
 		var r *ownership.Roster
 		if len(old) > 0 {
 			r = &ownership.Roster{}
@@ -148,7 +148,7 @@
 		}
 		n := change(r, op)
 		if n == nil || n == r {
-			return nil, platform.ErrUnchanged
+			return nil, table.ErrUnchanged
 		}
 		return json.Marshal(n)
 	})
@@ -160,11 +160,11 @@
 
 func (e *Entry) join(ctx context.Context) (*ownership.Roster, error) {
 	// The configuration is read first, so that a ready entry knows the services.
-	if row, err := e.o.Platform.Get(ctx, platform.RowConfig); err == nil {
+	if row, err := e.o.Platform.Get(ctx, table.RowConfig); err == nil {
 		if c, err := config.Decode(row.Value); err == nil {
 			e.config.Adopt(c)
 		}
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, table.ErrNotFound) {
 		return nil, err
 	}
 	return e.updateRoster(ctx, func(r *ownership.Roster, op string) *ownership.Roster {
@@ -219,9 +219,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the roster")
 	}
-	_, err = e.o.Platform.CompareAndSet(ctx, platform.RowRoster, n.Version-1, b)
-	var conflict *platform.ConflictError
-	var doubt *platform.DoubtError
+	_, err = e.o.Platform.CompareAndSet(ctx, table.RowRoster, n.Version-1, b)
+	var conflict *table.ConflictError
+	var doubt *table.DoubtError
 	if errors.As(err, &conflict) || errors.As(err, &doubt) {
 		// The next poll reads what is there; the confirmation is made again if
 		// it is missing.
@@ -252,7 +252,7 @@
 	if !ok || !need {
 		return nil
 	}
-	rows, err := e.o.Platform.List(ctx, platform.PrefixAgents)
+	rows, err := e.o.Platform.List(ctx, table.PrefixAgents)
 	if err != nil {
 		return errors.Wrap(err, "list the agents")
 	}
--- a/faulttest/forwarder_test.go
+++ b/faulttest/forwarder_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/transport"
 )
 
@@ -126,7 +126,7 @@
 func (c *cluster) forwardTo(p *process) *forwarder {
 	f := newForwarder(c.t, p.settings["peer_address"].(string))
 	ctx := context.Background()
-	_, err := platform.Update(ctx, c.platform, platform.RowRoster, "", func(old []byte) ([]byte, error) {
+	_, err := table.Update(ctx, c.platform, table.RowRoster, "", func(old []byte) ([]byte, error) {
 		var r ownership.Roster
 		if err := json.Unmarshal(old, &r); err != nil {
 			return nil, err
--- a/sheet/apply.go
+++ b/sheet/apply.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // Result is what Apply did.
@@ -52,9 +52,9 @@
 // next.Version is the version that next was made for; 0 means the one that is
 // in effect when Apply begins. If another version is in effect by the time of
 // the write, the error is a *ConflictError, unless that version has the same
-// content. A *platform.DoubtError means that the platform went away before the
+// content. A *table.DoubtError means that the platform went away before the
 // outcome could be read back: applying the same sheet again is safe.
-func Apply(ctx context.Context, p platform.Platform, next *config.Config, op string) (*Result, error) {
+func Apply(ctx context.Context, p table.Platform, next *config.Config, op string) (*Result, error) {
 	if op == "" {
 		return nil, errors.New("operation id is empty")
 	}
@@ -62,8 +62,8 @@
 		return nil, faults
 	}
 	a := &application{platform: p, next: *next, op: op, based: next.Version > 0, base: next.Version, difference: Plan(next, next)}
-	row, err := platform.Update(ctx, p, platform.RowConfig, op, func(old []byte) ([]byte, error) { return a.change(ctx, old) })
-	var doubt *platform.DoubtError
+	row, err := table.Update(ctx, p, table.RowConfig, op, func(old []byte) ([]byte, error) { return a.change(ctx, old) })
+	var doubt *table.DoubtError
 	if errors.As(err, &doubt) {
 		row, err = a.resolve(ctx, doubt)
 	}
@@ -86,7 +86,7 @@
 
 // application is one call of Apply.
 type application struct {
-	platform platform.Platform
+	platform table.Platform
 	next     config.Config
 	op       string
 	// base is the version to replace, once based is set.
@@ -96,7 +96,7 @@
 	difference Difference
 }
 
-// change returns the value of the configuration row. platform.Update calls it
+// change returns the value of the configuration row. table.Update calls it
 // again after a conflict.
 func (a *application) change(ctx context.Context, old []byte) ([]byte, error) {
 	current := &config.Config{}
@@ -110,7 +110,7 @@
 	a.difference = Plan(current, &a.next)
 	if current.Version > 0 && len(a.difference.Changes) == 0 {
 		a.unchanged = true
-		return nil, platform.ErrUnchanged
+		return nil, table.ErrUnchanged
 	}
 	if !a.based {
 		a.base, a.based = current.Version, true
@@ -125,18 +125,18 @@
 	}
 	a.next.Version, a.next.Op, a.next.At = current.Version+1, a.op, time.Now().UTC().Truncate(time.Second)
 	value, err := config.Encode(&a.next)
-	if err == nil && len(value) > platform.MaxValueBytes {
-		err = errors.Wrapf(platform.ErrTooLarge, "configuration of %d bytes", len(value))
+	if err == nil && len(value) > table.MaxValueBytes {
+		err = errors.Wrapf(table.ErrTooLarge, "configuration of %d bytes", len(value))
 	}
 	return value, err
 }
 
 // resolve finds out about a write in doubt that another writer has replaced:
 // that writer has recorded the version it replaced.
-func (a *application) resolve(ctx context.Context, doubt *platform.DoubtError) (platform.Row, error) {
-	row, err := a.platform.Get(ctx, platform.RowConfig)
+func (a *application) resolve(ctx context.Context, doubt *table.DoubtError) (table.Row, error) {
+	row, err := a.platform.Get(ctx, table.RowConfig)
 	if err != nil {
-		return platform.Row{}, doubt
+		return table.Row{}, doubt
 	}
 	current, err := config.Decode(row.Value)
 	if err != nil || current.Version <= a.next.Version {
@@ -144,18 +144,18 @@
 	}
 	mine, err := Show(ctx, a.platform, a.next.Version)
 	if err != nil {
-		return platform.Row{}, doubt
+		return table.Row{}, doubt
 	}
 	if mine.Op != a.op {
-		return platform.Row{}, a.verdict(current, doubt)
+		return table.Row{}, a.verdict(current, doubt)
 	}
 	value, err := config.Encode(mine)
-	return platform.Row{Key: platform.RowConfig, Version: mine.Version, Value: value}, err
+	return table.Row{Key: table.RowConfig, Version: mine.Version, Value: value}, err
 }
 
 // verdict says what a version in effect means for a write in doubt that is not
 // part of the history.
-func (a *application) verdict(current *config.Config, doubt *platform.DoubtError) error {
+func (a *application) verdict(current *config.Config, doubt *table.DoubtError) error {
 	switch {
 	case current != nil && current.Op == a.op:
 		return nil
@@ -167,7 +167,7 @@
 
 // Revert makes the content of an older version a new version. base is as the
 // version in Apply.
-func Revert(ctx context.Context, p platform.Platform, version, base uint64, operator, op string) (*Result, error) {
+func Revert(ctx context.Context, p table.Platform, version, base uint64, operator, op string) (*Result, error) {
 	c, err := Show(ctx, p, version)
 	if err != nil {
 		return nil, err
--- a/sheet/apply_test.go
+++ b/sheet/apply_test.go
@@ -14,8 +14,8 @@
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/config/watch"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 func newPlatform(c *qt.C) *standin.Platform {
@@ -35,13 +35,13 @@
 // hooked calls before ahead of the nth write of the configuration row, and
 // after when it has returned.
 type hooked struct {
-	platform.Platform
+	table.Platform
 	writes        int
 	before, after func(n int)
 }
 
-func (h *hooked) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (platform.Row, error) {
-	if key != platform.RowConfig {
+func (h *hooked) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (table.Row, error) {
+	if key != table.RowConfig {
 		return h.Platform.CompareAndSet(ctx, key, want, value)
 	}
 	h.writes++
@@ -135,13 +135,13 @@
 
 func outcome(r *Result, err error) string {
 	var conflict *ConflictError
-	var doubt *platform.DoubtError
+	var doubt *table.DoubtError
 	switch {
 	case errors.As(err, &conflict):
 		return "conflict"
 	case errors.As(err, &doubt):
 		return "doubt"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable):
 		return "unavailable"
 	case err != nil:
 		return err.Error()
@@ -152,7 +152,7 @@
 }
 
 // checkHistory checks that each version has a row with its content.
-func checkHistory(c *qt.C, p platform.Platform) {
+func checkHistory(c *qt.C, p table.Platform) {
 	entries, err := History(context.Background(), p)
 	c.Assert(err, qt.IsNil)
 	now, err := Show(context.Background(), p, 0)
@@ -239,10 +239,10 @@
 				c.Assert(err, qt.IsNil)
 			}
 			if tc.members != nil {
-				set(platform.RowRoster, ownership.Roster{Version: 1, Members: tc.members})
+				set(table.RowRoster, ownership.Roster{Version: 1, Members: tc.members})
 			}
 			for _, r := range tc.reports {
-				set(platform.PrefixReports+r.Name, r)
+				set(table.PrefixReports+r.Name, r)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*waitInterval/2)
 			defer cancel()
@@ -266,7 +266,7 @@
 	for _, r := range []ownership.Registration{{Worker: "abay-01"}, {Worker: "abay-02"}, {Worker: "abay-77", LeftAt: time.Now()}} {
 		value, err := json.Marshal(r)
 		c.Assert(err, qt.IsNil)
-		_, err = stand.CompareAndSet(ctx, platform.PrefixAgents+r.Worker, 0, value)
+		_, err = stand.CompareAndSet(ctx, table.PrefixAgents+r.Worker, 0, value)
 		c.Assert(err, qt.IsNil)
 	}
 	warnings, err = CheckWorkers(ctx, stand, cfg)
--- a/sheet/cli/cli.go
+++ b/sheet/cli/cli.go
@@ -19,8 +19,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/sheet"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // Exit codes.
@@ -184,14 +184,14 @@
 	fs.Uint64Var(&c.base, "base", 0, "version that the plan was made for; another one is a conflict; 0 for the one in effect")
 }
 
-func (c *command) client() (*platform.Client, error) {
+func (c *command) client() (*table.Client, error) {
 	if c.platform == "" {
 		return nil, usageError{"flag -platform is required: the IP address and port of the platform"}
 	}
 	if _, err := netip.ParseAddrPort(c.platform); err != nil {
 		return nil, usageError{fmt.Sprintf("flag -platform: %q is not an IP address and port", c.platform)}
 	}
-	return platform.NewClient(c.platform), nil
+	return table.NewClient(c.platform), nil
 }
 
 func operationID() (string, error) {
@@ -213,7 +213,7 @@
 	code, f := ExitFailed, failure{Error: err.Error()}
 	var usage usageError
 	var conflict *sheet.ConflictError
-	var doubt *platform.DoubtError
+	var doubt *table.DoubtError
 	var invalid config.Faults
 	switch {
 	case errors.As(err, &f.Faults):
@@ -225,7 +225,7 @@
 		f.Error += "; run `sesamelift sheet plan` again to see what your sheet would change now"
 	case errors.As(err, &doubt):
 		f.Error = "the platform went away before it confirmed the change, which may have taken effect; apply the same sheet again, which is safe (" + err.Error() + ")"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable):
 		f.Error = "the platform at " + c.platform + " does not answer; the version in effect stays in effect, try again later (" + err.Error() + ")"
 	}
 	var late notEverywhereError
--- a/sheet/cli/cli_test.go
+++ b/sheet/cli/cli_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/sesamelift/sesamelift/config/watch"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 func run(args ...string) (code int, out, errOut string) {
@@ -86,13 +86,13 @@
 		{"conflict", nil, on("apply", "-base", "1", sheet), ExitConflict, ``, `version 2 was applied by amina at .* made for version 1; nothing was written; run .*\n`},
 		{"conflict as JSON", nil, on("apply", "-json", "-base", "1", sheet), ExitConflict, `(?s)\{\n  "error": "version 2 was applied.*`, ``},
 		{"entry without report", func() {
-			set(platform.RowRoster, ownership.Roster{Version: 1, Members: []ownership.Member{{Name: "entry-1", Incarnation: 7}, {Name: "entry-2", Incarnation: 8}}})
-			set(platform.PrefixReports+"entry-1", watch.Report{Name: "entry-1", Incarnation: 7, Version: 3})
-			set(platform.PrefixReports+"entry-2", watch.Report{Name: "entry-2", Incarnation: 8, Version: 2})
+			set(table.RowRoster, ownership.Roster{Version: 1, Members: []ownership.Member{{Name: "entry-1", Incarnation: 7}, {Name: "entry-2", Incarnation: 8}}})
+			set(table.PrefixReports+"entry-1", watch.Report{Name: "entry-1", Incarnation: 7, Version: 3})
+			set(table.PrefixReports+"entry-2", watch.Report{Name: "entry-2", Incarnation: 8, Version: 2})
 		}, on("revert", "1"), ExitFailed, `(?s)version 3 is accepted\n.*in effect at: entry-1\nnot yet in effect at: entry-2, which has version 2\n`,
 			`version 3 is accepted, but not yet reported within 2s by 1 of 2 entries: .*\n`},
 		{"in effect", func() {
-			set(platform.PrefixReports+"entry-2", watch.Report{Name: "entry-2", Incarnation: 8, Version: 3})
+			set(table.PrefixReports+"entry-2", watch.Report{Name: "entry-2", Incarnation: 8, Version: 3})
 		}, on("apply", "-json", sheet), ExitOK, `(?s).*"unchanged": true,.*"done": \[\n    "entry-1",\n    "entry-2"\n  \],\n  "missing": \[\].*`, ``},
 		{"history", nil, on("history", "-n", "2"), ExitOK, `(?s)VERSION .*\n3  .*restores version 1\n2  .*amina *\n`, ``},
 		{"wrong version", nil, on("show", "two"), ExitUsage, ``, `"two" is not a version; .*\n`},
--- a/sheet/cli/commands.go
+++ b/sheet/cli/commands.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/sheet"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 func read(file string) (*config.Config, error) {
@@ -129,7 +129,7 @@
 }
 
 // finish waits for the entries and prints what was done.
-func (c *command) finish(ctx context.Context, p platform.Table, r *sheet.Result) error {
+func (c *command) finish(ctx context.Context, p table.Table, r *sheet.Result) error {
 	progress, waitErr := sheet.Wait(ctx, p, r.Version)
 	if c.json {
 		if err := c.printJSON(struct {
--- a/sheet/history.go
+++ b/sheet/history.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/config"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 const (
@@ -40,21 +40,21 @@
 var ErrNoVersion = errors.New("no such version")
 
 func historyKey(version uint64) string {
-	return fmt.Sprintf("%s%012d", platform.PrefixConfigHistory, version)
+	return fmt.Sprintf("%s%012d", table.PrefixConfigHistory, version)
 }
 
 // record writes a version to the history unless it is there. The object comes
 // first, so that a history row always has its content. Every writer records the
 // version that it replaces, so that each replaced version has a row even if its
 // own writer failed before that.
-func record(ctx context.Context, p platform.Platform, c *config.Config) error {
+func record(ctx context.Context, p table.Platform, c *config.Config) error {
 	_, err := p.Get(ctx, historyKey(c.Version))
-	if err == nil || !errors.Is(err, platform.ErrNotFound) {
+	if err == nil || !errors.Is(err, table.ErrNotFound) {
 		return err
 	}
 	e := Entry{
 		Version: c.Version, Op: c.Op, Operator: c.Operator, At: c.At, Restores: c.Restores,
-		Object: fmt.Sprintf("%s%012d/%s", platform.PrefixConfigHistory, c.Version, c.Op),
+		Object: fmt.Sprintf("%s%012d/%s", table.PrefixConfigHistory, c.Version, c.Op),
 	}
 	content, err := config.Encode(c)
 	if err != nil {
@@ -67,17 +67,17 @@
 	if err != nil {
 		return errors.Wrap(err, "encode history")
 	}
-	_, err = platform.Update(ctx, p, historyKey(c.Version), "", func(old []byte) ([]byte, error) {
+	_, err = table.Update(ctx, p, historyKey(c.Version), "", func(old []byte) ([]byte, error) {
 		if old != nil {
-			return nil, platform.ErrUnchanged
+			return nil, table.ErrUnchanged
 		}
 		return row, nil
 	})
 	return errors.Wrap(err, "write history")
 }
 
-func putObject(ctx context.Context, p platform.Platform, name string, content []byte) error {
-	var doubt *platform.DoubtError
+func putObject(ctx context.Context, p table.Platform, name string, content []byte) error {
+	var doubt *table.DoubtError
 	err := p.PutObject(ctx, name, content)
 	for attempt := 1; attempt < objectAttempts && errors.As(err, &doubt); attempt++ {
 		select {
@@ -92,7 +92,7 @@
 
 // forget removes the history row that is beyond KeptVersions. A failure leaves
 // a row too many, which harms nothing.
-func forget(ctx context.Context, p platform.Platform, version uint64) {
+func forget(ctx context.Context, p table.Platform, version uint64) {
 	if version <= KeptVersions {
 		return
 	}
@@ -102,10 +102,10 @@
 }
 
 // Current returns the configuration in effect, or nil when there is none.
-func Current(ctx context.Context, t platform.Table) (*config.Config, error) {
-	row, err := t.Get(ctx, platform.RowConfig)
+func Current(ctx context.Context, t table.Table) (*config.Config, error) {
+	row, err := t.Get(ctx, table.RowConfig)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, table.ErrNotFound):
 		return nil, nil
 	case err != nil:
 		return nil, err
@@ -114,8 +114,8 @@
 }
 
 // History returns the versions, newest first.
-func History(ctx context.Context, p platform.Platform) ([]Entry, error) {
-	rows, err := p.List(ctx, platform.PrefixConfigHistory)
+func History(ctx context.Context, p table.Platform) ([]Entry, error) {
+	rows, err := p.List(ctx, table.PrefixConfigHistory)
 	if err != nil {
 		return nil, err
 	}
@@ -142,7 +142,7 @@
 
 // Show returns a version; 0 means the one in effect. The error is ErrNoVersion
 // when there is no such version or it is no longer kept.
-func Show(ctx context.Context, p platform.Platform, version uint64) (*config.Config, error) {
+func Show(ctx context.Context, p table.Platform, version uint64) (*config.Config, error) {
 	c, err := Current(ctx, p)
 	if err != nil {
 		return nil, err
@@ -154,7 +154,7 @@
 		return nil, errors.Wrap(ErrNoVersion, "no configuration has been applied yet")
 	}
 	row, err := p.Get(ctx, historyKey(version))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, table.ErrNotFound) {
 		return nil, errors.Wrapf(ErrNoVersion, "version %d", version)
 	} else if err != nil {
 		return nil, err
--- a/sheet/wait.go
+++ b/sheet/wait.go
@@ -9,7 +9,7 @@
 
 	"github.com/sesamelift/sesamelift/config/watch"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // waitInterval is the time between two reads of the reports.
@@ -34,7 +34,7 @@
 // Wait returns when every entry of the roster has the version in effect, or
 // with the last progress when ctx ends. An error means that the platform could
 // not be read at all.
-func Wait(ctx context.Context, t platform.Table, version uint64) (Progress, error) {
+func Wait(ctx context.Context, t table.Table, version uint64) (Progress, error) {
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
 	var last Progress
@@ -46,7 +46,7 @@
 			return progress, nil
 		case err == nil:
 			last, read = progress, true
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, table.ErrUnavailable):
 			return last, err
 		}
 		select {
@@ -60,10 +60,10 @@
 	}
 }
 
-func progress(ctx context.Context, t platform.Table, version uint64) (Progress, error) {
+func progress(ctx context.Context, t table.Table, version uint64) (Progress, error) {
 	p := Progress{Done: []string{}, Missing: []Missing{}}
-	row, err := t.Get(ctx, platform.RowRoster)
-	if errors.Is(err, platform.ErrNotFound) {
+	row, err := t.Get(ctx, table.RowRoster)
+	if errors.Is(err, table.ErrNotFound) {
 		return p, nil
 	} else if err != nil {
 		return p, err
@@ -72,7 +72,7 @@
 	if err := json.Unmarshal(row.Value, &roster); err != nil {
 		return p, errors.Wrap(err, "decode roster")
 	}
-	rows, err := t.List(ctx, platform.PrefixReports)
+	rows, err := t.List(ctx, table.PrefixReports)
 	if err != nil {
 		return p, err
 	}
--- a/sheet/workers.go
+++ b/sheet/workers.go
@@ -9,7 +9,7 @@
 
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ownership"
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // maxNamed bounds the workers that a warning names.
@@ -19,8 +19,8 @@
 // registered on the platform. A misspelt name is valid in a sheet, but then the
 // row has no effect on the worker that was meant. Before the first agent has
 // registered there is nothing to compare with and no warning.
-func CheckWorkers(ctx context.Context, t platform.Table, c *config.Config) ([]string, error) {
-	rows, err := t.List(ctx, platform.PrefixAgents)
+func CheckWorkers(ctx context.Context, t table.Table, c *config.Config) ([]string, error) {
+	rows, err := t.List(ctx, table.PrefixAgents)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // PlatformFaults are the faults of the platform stand-in. The counts are of the
@@ -45,24 +45,24 @@
 // errLost says that no reply is to be sent.
 var errLost = errors.New("reply is lost")
 
-// Platform is the platform stand-in. It implements platform.Platform in
+// Platform is the platform stand-in. It implements table.Platform in
 // process and serves the same rows over HTTP.
 type Platform struct {
 	server *server
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]table.Row
 	objects map[string][]byte
 	faults  PlatformFaults
 	counts  PlatformCounts
 }
 
-var _ platform.Platform = (*Platform)(nil)
+var _ table.Platform = (*Platform)(nil)
 
 // NewPlatform returns an empty platform. With an address, it listens at once;
 // requests are answered while Run runs.
 func NewPlatform(o PlatformOptions) (*Platform, error) {
-	p := &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, faults: o.Faults}
+	p := &Platform{rows: map[string]table.Row{}, objects: map[string][]byte{}, faults: o.Faults}
 	if o.Address == "" {
 		return p, nil
 	}
@@ -112,43 +112,43 @@
 	return p.counts
 }
 
-// Get implements platform.Table.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements table.Table.
+func (p *Platform) Get(ctx context.Context, key string) (table.Row, error) {
 	if err := p.beforeRead(ctx); err != nil {
-		return platform.Row{}, err
+		return table.Row{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row, ok := p.rows[key]
 	if !ok {
-		return platform.Row{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+		return table.Row{}, errors.Wrapf(table.ErrNotFound, "row %q", key)
 	}
 	return copyRow(row), nil
 }
 
-// List implements platform.Table.
-func (p *Platform) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements table.Table.
+func (p *Platform) List(ctx context.Context, prefix string) ([]table.Row, error) {
 	if err := p.beforeRead(ctx); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []table.Row{}
 	for key, row := range p.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, copyRow(row))
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-// CompareAndSet implements platform.Table.
-func (p *Platform) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (platform.Row, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Row{}, errors.Wrapf(platform.ErrTooLarge, "set row %q to %d bytes", key, len(value))
+// CompareAndSet implements table.Table.
+func (p *Platform) CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (table.Row, error) {
+	if len(value) > table.MaxValueBytes {
+		return table.Row{}, errors.Wrapf(table.ErrTooLarge, "set row %q to %d bytes", key, len(value))
 	}
-	row := copyRow(platform.Row{Key: key, Version: want + 1, Value: value})
+	row := copyRow(table.Row{Key: key, Version: want + 1, Value: value})
 	err := p.write(ctx, key, func() error {
 		if err := p.check(key, want); err != nil {
 			return err
@@ -157,12 +157,12 @@
 		return nil
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return table.Row{}, err
 	}
 	return copyRow(row), nil
 }
 
-// Delete implements platform.Table.
+// Delete implements table.Table.
 func (p *Platform) Delete(ctx context.Context, key string, want uint64) error {
 	return p.write(ctx, key, func() error {
 		if err := p.check(key, want); err != nil {
@@ -173,10 +173,10 @@
 	})
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements table.Objects.
 func (p *Platform) PutObject(ctx context.Context, name string, value []byte) error {
-	if len(value) > platform.MaxObjectBytes {
-		return errors.Wrapf(platform.ErrTooLarge, "put object %q of %d bytes", name, len(value))
+	if len(value) > table.MaxObjectBytes {
+		return errors.Wrapf(table.ErrTooLarge, "put object %q of %d bytes", name, len(value))
 	}
 	value = append([]byte{}, value...)
 	return p.write(ctx, name, func() error {
@@ -185,7 +185,7 @@
 	})
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements table.Objects.
 func (p *Platform) GetObject(ctx context.Context, name string) ([]byte, error) {
 	if err := p.beforeRead(ctx); err != nil {
 		return nil, err
@@ -194,14 +194,14 @@
 	defer p.mu.Unlock()
 	value, ok := p.objects[name]
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %q", name)
+		return nil, errors.Wrapf(table.ErrNotFound, "object %q", name)
 	}
 	return append([]byte{}, value...), nil
 }
 
 func (p *Platform) check(key string, want uint64) error {
 	if current := p.rows[key]; current.Version != want {
-		return &platform.ConflictError{Key: key, Want: want, Current: copyRow(current)}
+		return &table.ConflictError{Key: key, Want: want, Current: copyRow(current)}
 	}
 	return nil
 }
@@ -215,7 +215,7 @@
 		return err
 	}
 	if f.Unavailable {
-		return errors.Wrap(platform.ErrUnavailable, "stand-in is set to be unavailable")
+		return errors.Wrap(table.ErrUnavailable, "stand-in is set to be unavailable")
 	}
 	return nil
 }
@@ -229,10 +229,10 @@
 	f := p.faults
 	p.mu.Unlock()
 	if ctx.Err() != nil {
-		return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return errors.Wrap(table.ErrUnavailable, ctx.Err().Error())
 	}
 	if f.Unavailable || f.RefuseWrites {
-		return errors.Wrap(platform.ErrUnavailable, "stand-in is set to refuse writes")
+		return errors.Wrap(table.ErrUnavailable, "stand-in is set to refuse writes")
 	}
 	done := make(chan error, 1)
 	apply := func() { done <- p.apply(key, change) }
@@ -245,7 +245,7 @@
 	case err := <-done:
 		return err
 	case <-ctx.Done():
-		return &platform.DoubtError{Key: key, Cause: ctx.Err()}
+		return &table.DoubtError{Key: key, Cause: ctx.Err()}
 	}
 }
 
@@ -253,11 +253,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if take(&p.faults.LoseRequests) {
-		return &platform.DoubtError{Key: key, Cause: errLost}
+		return &table.DoubtError{Key: key, Cause: errLost}
 	}
 	err := change()
 	if take(&p.faults.LoseReplies) {
-		return &platform.DoubtError{Key: key, Cause: errLost}
+		return &table.DoubtError{Key: key, Cause: errLost}
 	}
 	return err
 }
@@ -283,10 +283,10 @@
 		case <-ctx.Done():
 		}
 	}
-	return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	return errors.Wrap(table.ErrUnavailable, ctx.Err().Error())
 }
 
-func copyRow(r platform.Row) platform.Row {
+func copyRow(r table.Row) table.Row {
 	if r.Version > 0 {
 		r.Value = append([]byte{}, r.Value...)
 	}
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 func (p *Platform) routes() http.Handler {
@@ -47,7 +47,7 @@
 		_, _ = w.Write(value)
 	})
 	mux.HandleFunc("PUT /v1/objects/{name...}", func(w http.ResponseWriter, r *http.Request) {
-		if value, ok := readBody(w, r, platform.MaxObjectBytes); ok {
+		if value, ok := readBody(w, r, table.MaxObjectBytes); ok {
 			reply(w, struct{}{}, p.PutObject(r.Context(), r.PathValue("name"), value))
 		}
 	})
@@ -60,7 +60,7 @@
 
 // etag names the content of a row. The version alone would not do: a row that
 // is deleted and written again starts at version 1.
-func etag(row platform.Row) string {
+func etag(row table.Row) string {
 	return fmt.Sprintf(`"%d-%016x"`, row.Version, xxhash.Sum64(row.Value))
 }
 
@@ -69,7 +69,7 @@
 	if !ok {
 		return
 	}
-	value, ok := readBody(w, r, platform.MaxValueBytes)
+	value, ok := readBody(w, r, table.MaxValueBytes)
 	if !ok {
 		return
 	}
@@ -104,8 +104,8 @@
 }
 
 func reply(w http.ResponseWriter, v any, err error) {
-	var conflict *platform.ConflictError
-	var doubt *platform.DoubtError
+	var conflict *table.ConflictError
+	var doubt *table.DoubtError
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, v)
@@ -113,9 +113,9 @@
 		abort()
 	case errors.As(err, &conflict):
 		writeJSON(w, http.StatusPreconditionFailed, conflict.Current)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, table.ErrNotFound):
 		writeJSON(w, http.StatusNotFound, errorReply{Error: err.Error()})
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable):
 		writeJSON(w, http.StatusServiceUnavailable, errorReply{Error: err.Error(), Written: new(bool)})
 	default:
 		writeJSON(w, http.StatusInternalServerError, errorReply{Error: err.Error()})
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -11,12 +11,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/platform"
-	"github.com/sesamelift/sesamelift/platform/platformtest"
+	"github.com/sesamelift/sesamelift/table"
+	"github.com/sesamelift/sesamelift/table/tabletest"
 )
 
 // open returns a stand-in and the two ways to reach it.
-func open(t *testing.T) (*Platform, map[string]platform.Platform) {
+func open(t *testing.T) (*Platform, map[string]table.Platform) {
 	p, err := NewPlatform(PlatformOptions{Address: "127.0.0.1:0"})
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -26,14 +26,14 @@
 		cancel()
 		qt.Check(t, <-done, qt.IsNil)
 	})
-	return p, map[string]platform.Platform{"in process": p, "HTTP": platform.NewClient(p.Addr())}
+	return p, map[string]table.Platform{"in process": p, "HTTP": table.NewClient(p.Addr())}
 }
 
 // Guards against implementations that differ from each other.
 func TestPlatformContract(t *testing.T) {
 	for _, name := range []string{"in process", "HTTP"} {
 		t.Run(name, func(t *testing.T) {
-			platformtest.Run(t, func(t *testing.T) platform.Platform {
+			tabletest.Run(t, func(t *testing.T) table.Platform {
 				_, ways := open(t)
 				return ways[name]
 			})
@@ -81,7 +81,7 @@
 					wantErr, wantVersion := tc.write, tc.version
 					if viaUpdate {
 						wantErr, wantVersion = tc.update, tc.updated
-						_, err = platform.Update(ctx, ways[way], "roster", "second", setOp("second"))
+						_, err = table.Update(ctx, ways[way], "roster", "second", setOp("second"))
 					} else {
 						_, err = ways[way].CompareAndSet(ctx, "roster", 1, []byte(`{"op":"second"}`))
 					}
@@ -105,13 +105,13 @@
 }
 
 func kind(err error) string {
-	var doubt *platform.DoubtError
+	var doubt *table.DoubtError
 	switch {
 	case err == nil:
 		return ""
 	case errors.As(err, &doubt):
 		return "doubt"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable):
 		return "unavailable"
 	}
 	return err.Error()
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- stand.Run(ctx) }()
-	client := platform.NewClient(stand.Addr())
+	client := table.NewClient(stand.Addr())
 	_, err = client.CompareAndSet(context.Background(), "roster", 0, nil)
 	qt.Assert(t, err, qt.IsNil)
 	cancel()
@@ -153,7 +153,7 @@
 			qt.Check(t, err, qt.IsNil)
 		}
 	}}
-	_, err = platform.Update(ctx, other, "roster", "mine", func([]byte) ([]byte, error) {
+	_, err = table.Update(ctx, other, "roster", "mine", func([]byte) ([]byte, error) {
 		calls++
 		return []byte(`{"op":"mine"}`), nil
 	})
@@ -165,12 +165,12 @@
 }
 
 type interposed struct {
-	platform.Platform
+	table.Platform
 	gets      int
 	beforeGet func(n int)
 }
 
-func (i *interposed) Get(ctx context.Context, key string) (platform.Row, error) {
+func (i *interposed) Get(ctx context.Context, key string) (table.Row, error) {
 	i.gets++
 	i.beforeGet(i.gets)
 	return i.Platform.Get(ctx, key)
@@ -182,21 +182,21 @@
 	c, ctx := qt.New(t), context.Background()
 	stand, err := NewPlatform(PlatformOptions{})
 	c.Assert(err, qt.IsNil)
-	row, err := platform.Update(ctx, stand, "roster", "a", setOp("a"))
+	row, err := table.Update(ctx, stand, "roster", "a", setOp("a"))
 	c.Assert(err, qt.IsNil)
-	again, err := platform.Update(ctx, stand, "roster", "a", func([]byte) ([]byte, error) { panic("done before") })
+	again, err := table.Update(ctx, stand, "roster", "a", func([]byte) ([]byte, error) { panic("done before") })
 	c.Assert(err, qt.IsNil)
 	c.Assert(again, qt.DeepEquals, row)
-	_, err = platform.Update(ctx, stand, "roster", "b", setOp("not b"))
+	_, err = table.Update(ctx, stand, "roster", "b", setOp("not b"))
 	c.Assert(err, qt.ErrorMatches, `.*does not carry the operation id "b"`)
-	_, err = platform.Update(ctx, stand, "roster", "b", func([]byte) ([]byte, error) {
+	_, err = table.Update(ctx, stand, "roster", "b", func([]byte) ([]byte, error) {
 		now, err := stand.Get(ctx, "roster")
 		c.Assert(err, qt.IsNil)
 		_, err = stand.CompareAndSet(ctx, "roster", now.Version, []byte(`{"op":"other"}`))
 		c.Assert(err, qt.IsNil)
 		return []byte(`{"op":"b"}`), nil
 	})
-	c.Assert(errors.Is(err, platform.ErrTooManyConflicts), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, table.ErrTooManyConflicts), qt.IsTrue, qt.Commentf("%v", err))
 }
 
 // Guards against faults that cannot be set from outside, and against a write
--- a/platform/client.go
+++ b/table/client.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/table/table.go
@@ -1,11 +1,11 @@
-// Package platform is the narrow interface to the platform's transactional
+// Package table is the narrow interface to the platform's transactional
 // table service and object store, where everything lives that must last or be
 // agreed.
 //
 // Input: reads and compare-and-set writes. Output: rows, versions, errors that
 // say whether a write may have taken effect. State: none. All implementations
-// pass the contract test in platformtest and are safe for concurrent use.
-package platform
+// pass the contract test in tabletest and are safe for concurrent use.
+package table
 
 import (
 	"context"
--- a/platform/platformtest/contract.go
+++ b/table/tabletest/contract.go
@@ -1,6 +1,6 @@
-// Package platformtest holds the contract test that every implementation of
-// platform.Platform passes.
-package platformtest
+// Package tabletest holds the contract test that every implementation of
+// table.Platform passes.
+package tabletest
 
 import (
 	"context"
@@ -11,15 +11,15 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
-	"github.com/sesamelift/sesamelift/platform"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 // Run checks an implementation without faults. open returns an empty platform;
 // it is called once for each case.
-func Run(t *testing.T, open func(t *testing.T) platform.Platform) {
+func Run(t *testing.T, open func(t *testing.T) table.Platform) {
 	for _, tc := range []struct {
 		name string
-		run  func(c *qt.C, ctx context.Context, p platform.Platform)
+		run  func(c *qt.C, ctx context.Context, p table.Platform)
 	}{
 		{"versions rise by one", versions},
 		{"a stale version conflicts and shows the row", conflicts},
@@ -34,21 +34,21 @@
 	}
 }
 
-func versions(c *qt.C, ctx context.Context, p platform.Platform) {
+func versions(c *qt.C, ctx context.Context, p table.Platform) {
 	_, err := p.Get(ctx, "config/current")
-	c.Assert(errors.Is(err, platform.ErrNotFound), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, table.ErrNotFound), qt.IsTrue, qt.Commentf("%v", err))
 	for want := range uint64(3) {
 		row, err := p.CompareAndSet(ctx, "config/current", want, []byte{byte(want)})
 		c.Assert(err, qt.IsNil)
-		c.Assert(row, qt.DeepEquals, platform.Row{Key: "config/current", Version: want + 1, Value: []byte{byte(want)}})
+		c.Assert(row, qt.DeepEquals, table.Row{Key: "config/current", Version: want + 1, Value: []byte{byte(want)}})
 		got, err := p.Get(ctx, "config/current")
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.DeepEquals, row)
 	}
 }
 
-func conflicts(c *qt.C, ctx context.Context, p platform.Platform) {
-	var conflict *platform.ConflictError
+func conflicts(c *qt.C, ctx context.Context, p table.Platform) {
+	var conflict *table.ConflictError
 	_, err := p.CompareAndSet(ctx, "roster", 4, []byte("x"))
 	c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(conflict.Current.Version, qt.Equals, uint64(0))
@@ -57,23 +57,23 @@
 	for _, want := range []uint64{0, 2} {
 		_, err = p.CompareAndSet(ctx, "roster", want, []byte("b"))
 		c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
-		c.Assert(conflict, qt.DeepEquals, &platform.ConflictError{
-			Key: "roster", Want: want, Current: platform.Row{Key: "roster", Version: 1, Value: []byte("a")},
+		c.Assert(conflict, qt.DeepEquals, &table.ConflictError{
+			Key: "roster", Want: want, Current: table.Row{Key: "roster", Version: 1, Value: []byte("a")},
 		})
 	}
 }
 
-func deletes(c *qt.C, ctx context.Context, p platform.Platform) {
+func deletes(c *qt.C, ctx context.Context, p table.Platform) {
 	_, err := p.CompareAndSet(ctx, "agents/w1", 0, []byte("a"))
 	c.Assert(err, qt.IsNil)
 	_, err = p.Get(ctx, "agents/w1")
 	c.Assert(err, qt.IsNil)
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	c.Assert(errors.As(p.Delete(ctx, "agents/w1", 2), &conflict), qt.IsTrue)
 	c.Assert(conflict.Current.Version, qt.Equals, uint64(1))
 	c.Assert(p.Delete(ctx, "agents/w1", 1), qt.IsNil)
 	_, err = p.Get(ctx, "agents/w1")
-	c.Assert(errors.Is(err, platform.ErrNotFound), qt.IsTrue)
+	c.Assert(errors.Is(err, table.ErrNotFound), qt.IsTrue)
 	c.Assert(errors.As(p.Delete(ctx, "agents/w1", 1), &conflict), qt.IsTrue)
 	// A row that is written again must not be confused with the deleted one of
 	// the same version.
@@ -86,7 +86,7 @@
 	}
 }
 
-func lists(c *qt.C, ctx context.Context, p platform.Platform) {
+func lists(c *qt.C, ctx context.Context, p table.Platform) {
 	for _, key := range []string{"agents/w2", "agents/w10", "agent", "agents/w1", "reports/e1"} {
 		_, err := p.CompareAndSet(ctx, key, 0, []byte(key))
 		c.Assert(err, qt.IsNil)
@@ -108,8 +108,8 @@
 	}
 }
 
-func values(c *qt.C, ctx context.Context, p platform.Platform) {
-	for i, value := range [][]byte{{}, {0, 255, '\n'}, []byte(`{"a": "ä%"}`), make([]byte, platform.MaxValueBytes)} {
+func values(c *qt.C, ctx context.Context, p table.Platform) {
+	for i, value := range [][]byte{{}, {0, 255, '\n'}, []byte(`{"a": "ä%"}`), make([]byte, table.MaxValueBytes)} {
 		key := fmt.Sprintf("odd key/%%2F %d?ä", i)
 		_, err := p.CompareAndSet(ctx, key, 0, value)
 		c.Assert(err, qt.IsNil)
@@ -117,17 +117,17 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(string(row.Value) == string(value), qt.IsTrue)
 	}
-	_, err := p.CompareAndSet(ctx, "large", 0, make([]byte, platform.MaxValueBytes+1))
-	c.Assert(errors.Is(err, platform.ErrTooLarge), qt.IsTrue, qt.Commentf("%v", err))
+	_, err := p.CompareAndSet(ctx, "large", 0, make([]byte, table.MaxValueBytes+1))
+	c.Assert(errors.Is(err, table.ErrTooLarge), qt.IsTrue, qt.Commentf("%v", err))
 }
 
-func races(c *qt.C, ctx context.Context, p platform.Platform) {
+func races(c *qt.C, ctx context.Context, p table.Platform) {
 	const writers = 8
 	var wg sync.WaitGroup
 	for i := range writers {
 		wg.Go(func() {
 			op := fmt.Sprintf("op-%d", i)
-			_, err := platform.Update(ctx, p, "roster", op, func(old []byte) ([]byte, error) {
+			_, err := table.Update(ctx, p, "roster", op, func(old []byte) ([]byte, error) {
 				return fmt.Appendf(nil, `{"op":%q,"n":%d}`, op, len(old)), nil
 			})
 			c.Check(err, qt.IsNil)
@@ -139,25 +139,25 @@
 	c.Assert(row.Version, qt.Equals, uint64(writers))
 }
 
-func objects(c *qt.C, ctx context.Context, p platform.Platform) {
+func objects(c *qt.C, ctx context.Context, p table.Platform) {
 	_, err := p.GetObject(ctx, "sheets/1")
-	c.Assert(errors.Is(err, platform.ErrNotFound), qt.IsTrue)
+	c.Assert(errors.Is(err, table.ErrNotFound), qt.IsTrue)
 	for _, value := range []string{"a", "b"} {
 		c.Assert(p.PutObject(ctx, "sheets/1", []byte(value)), qt.IsNil)
 		b, err := p.GetObject(ctx, "sheets/1")
 		c.Assert(err, qt.IsNil)
 		c.Assert(string(b), qt.Equals, value)
 	}
-	err = p.PutObject(ctx, "large", make([]byte, platform.MaxObjectBytes+1))
-	c.Assert(errors.Is(err, platform.ErrTooLarge), qt.IsTrue, qt.Commentf("%v", err))
+	err = p.PutObject(ctx, "large", make([]byte, table.MaxObjectBytes+1))
+	c.Assert(errors.Is(err, table.ErrTooLarge), qt.IsTrue, qt.Commentf("%v", err))
 }
 
-func cancelled(c *qt.C, ctx context.Context, p platform.Platform) {
+func cancelled(c *qt.C, ctx context.Context, p table.Platform) {
 	ctx, cancel := context.WithCancel(ctx)
 	cancel()
 	_, err := p.Get(ctx, "roster")
-	c.Assert(errors.Is(err, platform.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, table.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
 	_, err = p.CompareAndSet(ctx, "roster", 0, []byte("a"))
-	var doubt *platform.DoubtError
-	c.Assert(errors.Is(err, platform.ErrUnavailable) || errors.As(err, &doubt), qt.IsTrue, qt.Commentf("%v", err))
+	var doubt *table.DoubtError
+	c.Assert(errors.Is(err, table.ErrUnavailable) || errors.As(err, &doubt), qt.IsTrue, qt.Commentf("%v", err))
 }
