Run entry and agent on the users' platform

Cause: the users run every product as a participant of their platform: jobs over HTTP whose answers wait for their end, workers that take orders only from their own host, leases of at most a second, a store that may be away, and no disks. Jobs there may be run again from the start, but never twice at once.

Change: package dispatch decides at the entry (queue, placement, moves, lost tasks), runner at the agent (room, leases, orphaned runs), both pure; dispatchd and runnerd run them; link carries their messages over TCP; directory finds members and the configuration in the store and, while it is away, at other entries; timing derives all waits from the platform's bounds; decisions writes the log from a bounded ring; platform translates; host wires the processes.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 generate:
 	cd wire && go tool -modfile=../tools/go.mod msgp -file messages.go -o messages_gen.go -tests=false -io=false
+	cd link && go tool -modfile=../tools/go.mod msgp -file messages.go -o messages_gen.go -tests=false -io=false
 
 # As demo, but serves until interrupted.
 .PHONY: serve
--- a/cmd/sesamelift-agent/main.go
+++ b/cmd/sesamelift-agent/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesamelift/sesamelift/agent"
 	"github.com/sesamelift/sesamelift/daemon"
+	"github.com/sesamelift/sesamelift/host"
 	"github.com/sesamelift/sesamelift/settings"
 )
 
@@ -16,6 +17,7 @@
 	var s settings.Agent
 	return &daemon.Daemon{
 		Name: "sesamelift-agent", EnvPrefix: "SESAMELIFT_AGENT", MetricsPrefix: "sesamelift_agent",
+		OnPlatform: host.Agent,
 		Read: func(file string) (daemon.Common, error) {
 			err := settings.Read(file, &s)
 			return daemon.Common{
--- a/cmd/sesamelift-entry/main.go
+++ b/cmd/sesamelift-entry/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamelift/sesamelift/daemon"
 	"github.com/sesamelift/sesamelift/entry"
+	"github.com/sesamelift/sesamelift/host"
 	"github.com/sesamelift/sesamelift/settings"
 )
 
@@ -19,6 +20,7 @@
 	var s settings.Entry
 	return &daemon.Daemon{
 		Name: "sesamelift-entry", EnvPrefix: "SESAMELIFT_ENTRY", MetricsPrefix: "sesamelift_entry",
+		OnPlatform: host.Entry,
 		Read: func(file string) (daemon.Common, error) {
 			err := settings.Read(file, &s)
 			return daemon.Common{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,9 @@
 	// Serve runs until drain ends and then completes what is in progress. When
 	// stop ends it returns at once.
 	Serve func(drain, stop context.Context, r Runtime) error
+	// OnPlatform runs the program as a process of the users' platform, with the
+	// platform's own settings file. With check it only checks that file.
+	OnPlatform func(check bool, stdout, stderr io.Writer) int
 }
 
 // Command runs the daemon with the arguments after the name of the program and
@@ -82,6 +85,7 @@
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "settings file, JSON with comments (required)")
 	check := flags.Bool("check", false, "check the settings and exit")
+	onPlatform := flags.Bool("platform", false, "run as a process of the users' platform, whose settings file SESAMELIFT_SETTINGS names")
 	showVersion := flags.Bool("version", false, "print the version and exit")
 	err := ff.Parse(flags, args, ff.WithEnvVarPrefix(d.EnvPrefix))
 	if err == nil && flags.NArg() > 0 {
@@ -96,6 +100,8 @@
 	case *showVersion:
 		fmt.Fprintf(stdout, "%s %s\n", d.Name, version.String())
 		return ExitOK
+	case *onPlatform:
+		return d.OnPlatform(*check, stdout, stderr)
 	case *file == "":
 		fmt.Fprintf(stderr, "%s: -settings FILE is required\n", d.Name)
 		return ExitUsage
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/link"
+)
+
+const (
+	// maxMisses bounds the jobs in a row that find no worker before a round of
+	// placement ends: jobs differ little in what their tasks need.
+	maxMisses = 8
+	// throughputWindow is the time over which the rate of finished work is
+	// averaged.
+	throughputWindow = time.Second
+	// minRetryAfter and maxRetryAfter bound the hint of a refusal.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// admit refuses a job that can't be answered in time. Nothing of it has run.
+func (s *State) admit(now time.Duration, j *job) *api.Verdict {
+	if len(s.waiting) >= s.o.MaxWaitingJobs {
+		return s.overloaded(s.expectedWait(now, j), "the queue is full")
+	}
+	if now >= j.cutoff {
+		return api.Refuse(api.ReasonDeadlinePast, "the deadline has passed")
+	}
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	wait := s.expectedWait(now, j)
+	if now+wait+s.quickest(j) > j.cutoff {
+		return s.overloaded(wait, "the queue is too long to answer in time")
+	}
+	return nil
+}
+
+func (s *State) overloaded(wait time.Duration, message string) *api.Verdict {
+	v := api.Refuse(api.ReasonOverload, message)
+	v.RetryAfter = min(max(wait, minRetryAfter), maxRetryAfter)
+	return v
+}
+
+// expectedWait is how long the work before j takes at the rate at which work
+// was finished lately; 0 when that isn't known.
+func (s *State) expectedWait(now time.Duration, j *job) time.Duration {
+	rate := s.throughput.rate(now)
+	if rate <= 0 {
+		return 0
+	}
+	ahead := 0.0
+	for _, w := range s.waiting {
+		if w.startBy > j.startBy || s.late(now, w) {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.phase == ready {
+				ahead += work(t)
+			}
+		}
+	}
+	return time.Duration(ahead / rate)
+}
+
+// work is what a task takes, in thousandths of a core times nanoseconds.
+func work(t *task) float64 {
+	return float64(t.step().Need.MilliCPU) * float64(t.step().Estimate)
+}
+
+// throughput is an exponentially weighted rate of finished work.
+type throughput struct {
+	value float64
+	at    time.Duration
+}
+
+func (r *throughput) add(now time.Duration, work float64) {
+	r.value = r.rate(now) + work/float64(throughputWindow)
+	r.at = now
+}
+
+func (r *throughput) rate(now time.Duration) float64 {
+	return r.value * math.Exp(-float64(now-r.at)/float64(throughputWindow))
+}
+
+// quickest is the shortest time in which the job could run now.
+func (s *State) quickest(j *job) time.Duration {
+	return time.Duration(float64(j.objective-j.startBy) / s.bestSpeed(j.Service))
+}
+
+// bestSpeed is the speed of the fastest worker of a service.
+func (s *State) bestSpeed(service string) float64 {
+	best := 0.0
+	for _, w := range s.byName {
+		if w.usable(service) {
+			best = max(best, w.speed)
+		}
+	}
+	if best == 0 {
+		return unknownSpeed
+	}
+	return best
+}
+
+func (w *worker) usable(service string) bool {
+	return w.connected && w.reported && w.accepting && w.state.Service == service
+}
+
+// late reports whether a job that hasn't started can no longer be on time.
+func (s *State) late(now time.Duration, j *job) bool {
+	return !j.ran && now+s.quickest(j) > j.objective
+}
+
+// dispatch starts ready tasks while there is room: first those of jobs that can
+// be on time, by their latest start; then the others.
+func (s *State) dispatch(now time.Duration) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	for _, lateOnes := range []bool{false, true} {
+		misses := 0
+		for _, j := range s.waiting {
+			if s.late(now, j) != lateOnes {
+				continue
+			}
+			if s.placeReady(now, j) {
+				misses = 0
+			} else if misses++; misses >= maxMisses {
+				break
+			}
+		}
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool { return !j.hasReady() })
+}
+
+// placeReady orders starts of the ready tasks of a job. It reports whether one
+// was ordered.
+func (s *State) placeReady(now time.Duration, j *job) bool {
+	placed := false
+	for _, t := range j.tasks {
+		if t.phase != ready {
+			continue
+		}
+		w := s.pick(now, t)
+		if w == nil {
+			return placed
+		}
+		s.start(now, t, w)
+		placed = true
+	}
+	return placed
+}
+
+func (s *State) start(now time.Duration, t *task, w *worker) {
+	t.attempt++
+	t.phase, t.since, t.worker = starting, now, w
+	t.percent, t.remaining, t.progressAt = 0, -1, now
+	need := t.step().Need
+	w.unanswered = w.unanswered.Add(need)
+	w.tasks[t.id] = t
+	o := s.order(w)
+	o.Starts = append(o.Starts, link.Start{
+		Task: t.id, Attempt: t.attempt, Need: need, EstimateMS: t.step().Estimate.Milliseconds(), Spec: t.job.Spec,
+	})
+}
+
+// candidate is a worker with the predicted run time of a task.
+type candidate struct {
+	w    *worker
+	run  time.Duration
+	cost float64
+}
+
+// pick chooses the worker for a task, or none if it is better to wait.
+func (s *State) pick(now time.Duration, t *task) *worker {
+	var best, tolerable candidate
+	var total, free int64
+	fasterFull := time.Duration(math.MaxInt64)
+	need := t.step().Need
+	slack := t.job.objective - now
+	for _, w := range s.byName {
+		if !w.usable(t.job.Service) || !s.allowed(t, w) {
+			continue
+		}
+		run := s.predict(t, w)
+		available := w.available()
+		total += w.state.Capacity.MilliCPU
+		free += max(available.MilliCPU, 0)
+		if !need.Fit(available) {
+			fasterFull = min(fasterFull, run)
+			continue
+		}
+		c := candidate{w, run, s.cost(t, w, run)}
+		if best.w == nil || c.cost < best.cost {
+			best = c
+		}
+		fits := time.Duration(slowWorkerMargin*float64(run)) <= slack
+		if fits && w.failShare < failingShare && (tolerable.w == nil || run > tolerable.run) {
+			tolerable = c
+		}
+	}
+	switch {
+	case best.w == nil:
+		return nil
+	case best.run > slack && fasterFull < best.run && fasterFull <= slack:
+		// The free workers are too slow, and a faster one may have room in time.
+		return nil
+	case tolerable.w != nil && float64(free) < scarceShare*float64(total):
+		return tolerable.w
+	}
+	return best.w
+}
+
+// allowed says whether a task may run on a worker at all.
+func (s *State) allowed(t *task, w *worker) bool {
+	st := t.step()
+	if st.RequiredLabel != "" && !slices.Contains(w.state.Labels, st.RequiredLabel) {
+		return false
+	}
+	if slices.Contains(t.failedOn, w.name) && s.othersUsable(t) {
+		return false
+	}
+	if st.MaxPerWorker > 0 {
+		n := 0
+		for id := range w.tasks {
+			if id.Job == t.id.Job && id.Step == t.id.Step {
+				n++
+			}
+		}
+		return n < st.MaxPerWorker
+	}
+	return true
+}
+
+// othersUsable reports whether a worker is left on which the task didn't fail.
+func (s *State) othersUsable(t *task) bool {
+	for _, w := range s.byName {
+		if w.usable(t.job.Service) && !slices.Contains(t.failedOn, w.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// predict returns the run time to expect of a task on a worker.
+func (s *State) predict(t *task, w *worker) time.Duration {
+	run := float64(t.step().Estimate) / max(w.speed, minSpeed)
+	if rack := t.step().DataRack; rack != "" && !slices.Contains(w.state.Labels, rack) {
+		run *= s.o.RackSlowdown
+	}
+	return time.Duration(run)
+}
+
+// cost ranks workers: the predicted run time, longer where starts fail, and a
+// little longer where the worker is full, which spreads tasks over workers of
+// like speed. Each entry prefers other workers among equals, so that entries
+// rarely want the same room.
+func (s *State) cost(t *task, w *worker, run time.Duration) float64 {
+	used := 1 - float64(w.available().MilliCPU)/max(float64(w.state.Capacity.MilliCPU), 1)
+	return float64(run) / (1 - min(float64(w.failShare), 0.95)) * (1 + similarCost*used + preferenceWeight*w.preference)
+}
+
+// preference returns a number from 0 to 1 that differs between entries and
+// workers.
+func preference(seed uint64, worker string) float64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], seed)
+	h := xxhash.New()
+	_, _ = h.Write(b[:])
+	_, _ = h.WriteString(worker)
+	return float64(h.Sum64()) / math.MaxUint64
+}
--- /dev/null
+++ b/dispatchd/metrics.go
@@ -0,0 +1,58 @@
+package dispatchd
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamelift/sesamelift/api"
+)
+
+// latencyBuckets span from the shortest jobs to the longest deadlines.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(20*time.Millisecond, 1.5, 14)
+
+type metrics struct {
+	scope      tally.Scope
+	starts     tally.Counter
+	stops      tally.Counter
+	agentsLost tally.Counter
+	latency    map[api.Outcome]tally.Histogram
+	answers    map[api.Reason]tally.Counter
+	other      tally.Counter
+}
+
+// countedReasons are the reasons that have a counter of their own.
+var countedReasons = []api.Reason{
+	api.ReasonOK, api.ReasonTaskFailed, api.ReasonOverload, api.ReasonDeadlineExceeded, api.ReasonDeadlinePast,
+	api.ReasonCancelled, api.ReasonDraining,
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	m := metrics{
+		scope: scope, starts: scope.Counter("task_starts_total"), stops: scope.Counter("task_stops_total"),
+		agentsLost: scope.Counter("agent_connections_lost_total"),
+		latency:    map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
+		other: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
+	}
+	for _, o := range []api.Outcome{api.Complete, api.Failed} {
+		m.latency[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Histogram("job_seconds", latencyBuckets)
+	}
+	for _, r := range countedReasons {
+		m.answers[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("jobs_answered_total")
+	}
+	return m
+}
+
+func (m *metrics) answered(v *api.Verdict, took time.Duration) {
+	if h := m.latency[v.Outcome]; h != nil {
+		h.RecordDuration(took)
+	}
+	if c := m.answers[v.Reason]; c != nil {
+		c.Inc(1)
+		return
+	}
+	m.other.Inc(1)
+}
+
+func formatVersion(v uint64) string { return strconv.FormatUint(v, 10) }
--- /dev/null
+++ b/host/entry.go
@@ -0,0 +1,49 @@
+package host
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/sesamelift/sesamelift/dispatchd"
+	"github.com/sesamelift/sesamelift/platform"
+)
+
+// Entry runs an entry.
+func Entry(check bool, stdout, stderr io.Writer) int {
+	return command("sesamelift-entry", false, check, stdout, stderr, setupEntry)
+}
+
+func setupEntry(p *process) error {
+	s := p.settings
+	d := dispatchd.New(dispatchd.Options{
+		Name: s.Name, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
+		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
+		GracePeriod: s.GracePeriod, Log: p.log, Metrics: p.metrics,
+	})
+	for _, server := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", s.CallerAddress, closeWhileDraining(d, platform.FrontHandler(d))},
+		{"readiness", s.ReadyAddress, platform.ReadyHandler(d)},
+		{"directory", s.ControlAddress, d.DirectoryHandler()},
+	} {
+		if err := p.addServer(server.name, server.address, server.handler); err != nil {
+			return err
+		}
+	}
+	p.group.Add(func() error { d.Run(p.drain); return nil }, func(error) {})
+	return nil
+}
+
+// closeWhileDraining has connections closed after their answer once the entry is
+// ending. Idle ones stay open until the end: closing them could cross a request.
+func closeWhileDraining(d *dispatchd.Dispatcher, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,62 @@
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+)
+
+const (
+	// maxFrameBytes bounds a frame, in bytes: 1,000 starts of 4 KB each.
+	maxFrameBytes = 4 << 20
+	lengthBytes   = 4
+)
+
+// Message is a message of this package.
+type Message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+}
+
+// AppendFrame appends the length of m's encoding in four bytes, and the encoding.
+func AppendFrame(b []byte, m Message) ([]byte, error) {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0)
+	b, err := m.MarshalMsg(b)
+	if err != nil {
+		return b[:start], errors.Wrapf(err, "encode %T", m)
+	}
+	n := len(b) - start - lengthBytes
+	if n > maxFrameBytes {
+		return b[:start], errors.Errorf("%T of %d bytes exceeds the limit of %d", m, n, maxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(b[start:], uint32(n))
+	return b, nil
+}
+
+// ReadFrame reads one frame into m.
+func ReadFrame(r *bufio.Reader, m Message) error {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrameBytes {
+		return errors.Errorf("%T of %d bytes exceeds the limit of %d", m, n, maxFrameBytes)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return errors.Wrapf(err, "read %T", m)
+	}
+	rest, err := m.UnmarshalMsg(body)
+	if err != nil {
+		return errors.Wrapf(err, "decode %T", m)
+	}
+	if len(rest) > 0 {
+		return errors.Errorf("%T has %d extra bytes", m, len(rest))
+	}
+	return nil
+}
