Serve overloads: jobs on track first, late ones only in spare room

Serving by the latest start alone brought a third of the jobs of the crest in late, each taking as much room as one on time. A failing worker was offered tasks in a loop (attempt numbers up to 181), as it always had room. An entry that ended refused jobs on old connections for two seconds.

Change: a job counts as on track while it has waited at most half of its slack; late jobs start only while 12% of the capacity is free. Suspect workers are probed, refusals pause a worker for 20 ms and don't use up an attempt number. A draining entry closes idle connections and serves the others.

Ruled out: lost room at the agents (busy share above), wrong ejection of good workers (no other worker failed more than 11 of 4,000).

--- a/dispatch/describe.go
+++ b/dispatch/describe.go
@@ -1,6 +1,24 @@
 package dispatch
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
+
+// history is describe with the times of the last attempt, in milliseconds after
+// the job's arrival: its start, and its end if it is done.
+func (t *task) history() string {
+	b := append([]byte(t.describe()), ' ')
+	if t.startedAt == 0 {
+		return string(append(b, "not started"...))
+	}
+	b = strconv.AppendInt(b, int64((t.startedAt-t.job.Arrived)/time.Millisecond), 10)
+	b = append(b, '-')
+	if t.phase == done {
+		b = strconv.AppendInt(b, int64((t.since-t.job.Arrived)/time.Millisecond), 10)
+	}
+	return string(b)
+}
 
 // describe returns step and index of a task, its worker, and the number of
 // attempts.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -119,10 +119,14 @@
 		// The attempt may be running until its lease ends.
 		t.phase = lost
 		t.safeAt = max(t.safeAt, t.since+s.o.LossWait)
-	case link.Outdated, link.Busy, link.Refused, link.Closed:
-		if a.Result != link.Busy {
-			s.log(decisions.Info("start rejected", "job", t.id.Job, "task", t.describe(), "worker", w.name, "result", a.Result))
-		}
+	case link.Busy, link.Refused:
+		// Nothing has seen this attempt, so its number is used again. The worker
+		// is left alone for a moment: whatever made it refuse would do so again.
+		t.attempt--
+		w.blockedUntil = now + refusalPause
+		s.again(now, t)
+	case link.Outdated, link.Closed:
+		s.log(decisions.Info("start rejected", "job", t.id.Job, "task", t.describe(), "worker", w.name, "result", a.Result))
 		s.again(now, t)
 	}
 }
@@ -144,7 +148,6 @@
 	switch e.How {
 	case link.Done:
 		t.phase, t.since = done, now
-		s.throughput.add(now, work(t))
 		s.stepDone(now, t)
 	case link.Failed:
 		s.taskFailed(now, t, w)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,9 +16,6 @@
 	// maxMisses bounds the jobs in a row that find no worker before a round of
 	// placement ends: jobs differ little in what their tasks need.
 	maxMisses = 8
-	// throughputWindow is the time over which the rate of finished work is
-	// averaged.
-	throughputWindow = time.Second
 	// minRetryAfter and maxRetryAfter bound the hint of a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
@@ -48,16 +45,16 @@
 	return v
 }
 
-// expectedWait is how long the work before j takes at the rate at which work
-// was finished lately; 0 when that isn't known.
+// expectedWait is how long the work before j takes at the present rate; 0 while
+// nothing runs.
 func (s *State) expectedWait(now time.Duration, j *job) time.Duration {
-	rate := s.throughput.rate(now)
+	rate := s.rate(j.Service)
 	if rate <= 0 {
 		return 0
 	}
 	ahead := 0.0
 	for _, w := range s.waiting {
-		if w.startBy > j.startBy || s.late(now, w) {
+		if w.Service != j.Service || w.startBy > j.startBy || s.standing(now, w) == late {
 			continue
 		}
 		for _, t := range w.tasks {
@@ -74,19 +71,19 @@
 	return float64(t.step().Need.MilliCPU) * float64(t.step().Estimate)
 }
 
-// throughput is an exponentially weighted rate of finished work.
-type throughput struct {
-	value float64
-	at    time.Duration
-}
-
-func (r *throughput) add(now time.Duration, work float64) {
-	r.value = r.rate(now) + work/float64(throughputWindow)
-	r.at = now
-}
-
-func (r *throughput) rate(now time.Duration) float64 {
-	return r.value * math.Exp(-float64(now-r.at)/float64(throughputWindow))
+// rate is the work that the workers do for this entry at present, in thousandths
+// of a core.
+func (s *State) rate(service string) float64 {
+	sum := 0.0
+	for _, w := range s.byName {
+		if !w.usable(service) {
+			continue
+		}
+		for _, t := range w.tasks {
+			sum += float64(t.step().Need.MilliCPU) * w.speed
+		}
+	}
+	return sum
 }
 
 // quickest is the shortest time in which the job could run now.
@@ -112,21 +109,53 @@
 	return w.connected && w.reported && w.accepting && w.state.Service == service
 }
 
-// late reports whether a job that hasn't started can no longer be on time.
-func (s *State) late(now time.Duration, j *job) bool {
-	return !j.ran && now+s.quickest(j) > j.objective
+// standing says how a waiting job stands with its objective.
+type standing uint8
+
+const (
+	// onTrack jobs have most of their slack left, and jobs that have started: all
+	// of their work is lost if the rest isn't done.
+	onTrack standing = iota
+	// marginal jobs are on time only if they run no longer than declared.
+	marginal
+	// late jobs can't be on time any more.
+	late
+)
+
+// standing compares the time that a job has waited with its slack. Declared run
+// times are off by half, and so is the slack that follows from them: in an
+// overload, serving by the latest start alone brings every job in a little late.
+func (s *State) standing(now time.Duration, j *job) standing {
+	if j.ran {
+		return onTrack
+	}
+	quickest := s.quickest(j)
+	slack := j.objective - j.Arrived - quickest
+	waited := now - j.Arrived
+	switch {
+	case waited > slack:
+		return late
+	case float64(waited) > onTrackShare*float64(slack):
+		return marginal
+	}
+	return onTrack
 }
 
-// dispatch starts ready tasks while there is room: first those of jobs that can
+// dispatch starts ready tasks while there is room: first those of jobs that will
 // be on time, by their latest start; then the others.
 func (s *State) dispatch(now time.Duration) {
 	if len(s.waiting) == 0 {
 		return
 	}
-	for _, lateOnes := range []bool{false, true} {
+	var groups [late + 1][]*job
+	for _, j := range s.waiting {
+		at := s.standing(now, j)
+		groups[at] = append(groups[at], j)
+	}
+	for at, group := range groups {
 		misses := 0
-		for _, j := range s.waiting {
-			if s.late(now, j) != lateOnes {
+		for _, j := range group {
+			if standing(at) == late && s.freeShare(j.Service) < spareShare {
 				continue
 			}
 			if s.placeReady(now, j) {
@@ -139,6 +168,18 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool { return !j.hasReady() })
 }
 
+// freeShare is the free share of the capacity of a service.
+func (s *State) freeShare(service string) float64 {
+	var total, free int64
+	for _, w := range s.byName {
+		if w.usable(service) {
+			total += w.state.Capacity.MilliCPU
+			free += max(w.available().MilliCPU, 0)
+		}
+	}
+	return float64(free) / float64(max(total, 1))
+}
+
 // placeReady orders starts of the ready tasks of a job. It reports whether one
 // was ordered.
 func (s *State) placeReady(now time.Duration, j *job) bool {
@@ -192,7 +233,7 @@
 		available := w.available()
 		total += w.state.Capacity.MilliCPU
 		free += max(available.MilliCPU, 0)
-		if !need.Fit(available) {
+		if now < w.blockedUntil || !need.Fit(available) {
 			fasterFull = min(fasterFull, run)
 			continue
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -80,6 +80,8 @@
 	free      link.Resources
 	speed     float64
 	failShare float64
+	// blockedUntil is how long a worker that refused a start gets no other.
+	blockedUntil time.Duration
 	// unanswered is what starts take that the agent hasn't answered.
 	unanswered link.Resources
 	tasks      map[link.TaskID]*task
@@ -103,8 +105,6 @@
 	oldest   []string
 	orders   map[string]*Order
 	out      Actions
-	// throughput is the rate of finished work.
-	throughput throughput
 }
 
 type finished struct {
@@ -304,12 +304,11 @@
 		"on_time_ms", (j.objective - j.Arrived).Milliseconds(), "tasks", j.timeline()))
 }
 
-// timeline describes each task for the log: index, worker, attempts, moves,
-// failures, run time.
+// timeline describes each task for the log.
 func (j *job) timeline() []string {
 	lines := make([]string, 0, len(j.tasks))
 	for _, t := range j.tasks {
-		lines = append(lines, t.describe())
+		lines = append(lines, t.history())
 	}
 	return lines
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -118,6 +118,16 @@
 	// slowWorkerMargin is how many times its predicted run time must fit before
 	// a task goes to a slow worker while fast ones have room.
 	slowWorkerMargin = 1.3
+	// onTrackShare is the share of a job's slack that it may have waited and still
+	// be expected on time.
+	onTrackShare = 0.5
+	// spareShare is the free share of the capacity above which late jobs are
+	// started. Below it they would take the room of jobs that arrive within their
+	// run time and can be on time.
+	spareShare = 0.12
+	// refusalPause is how long a worker that refused a start gets no other: some
+	// round trips to other zones.
+	refusalPause = 20 * time.Millisecond
 	// maxMoves bounds how often a task is moved away from a slow worker.
 	maxMoves = 2
 	// moveGain is the factor by which a move must shorten the rest of a task, and
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -45,6 +45,10 @@
 	// sends new connections until it has missed two readiness checks, one second
 	// apart.
 	drainQuiet = 2800 * time.Millisecond
+	// drainMargin is what is left of the grace period for the last answers, and
+	// lastJobs how long before the end no job is taken any more.
+	drainMargin = 400 * time.Millisecond
+	lastJobs    = 1500 * time.Millisecond
 )
 
 // ErrStopped says that the core loop has ended.
@@ -69,8 +73,11 @@
 	Seeds            []string
 	// GracePeriod is the time between the signals to end and to kill.
 	GracePeriod time.Duration
-	Log         *decisions.Log
-	Metrics     tally.Scope
+	// CloseIdle closes connections of callers that are idle, and each other one
+	// after its answer.
+	CloseIdle func()
+	Log       *decisions.Log
+	Metrics   tally.Scope
 }
 
 // Dispatcher is the running part of an entry. Its methods are safe for
@@ -136,21 +143,36 @@
 	wg.Wait()
 }
 
+// drain serves callers that the platform still sends, and then those on old
+// connections, and ends once nobody waits for an answer.
 func (d *Dispatcher) drain() {
 	d.draining.Store(true)
-	d.o.Log.Add(decisions.Info("draining", "jobs", d.submissions.Load()))
 	start := clock.Now()
-	end := start + d.o.GracePeriod - 2*d.o.Timings.Silence
+	end := start + d.o.GracePeriod - drainMargin
 	quiet := start + min(drainQuiet, d.o.GracePeriod/2)
+	d.o.Log.Add(decisions.Info("draining", "jobs", d.submissions.Load()))
+	closed := false
 	for now := start; now < end; now = clock.Now() {
-		if now >= quiet {
+		if now >= quiet && !closed {
+			closed = true
+			d.o.CloseIdle()
+		}
+		// A job may arrive between the look at the counter and the refusal of
+		// further ones, so that the counter is looked at again.
+		if closed && d.submissions.Load() == 0 {
 			d.refusing.Store(true)
+			time.Sleep(tickInterval)
 			if d.submissions.Load() == 0 {
 				break
 			}
+			d.refusing.Store(false)
+		}
+		if now >= end-lastJobs {
+			d.refusing.Store(true)
 		}
 		time.Sleep(tickInterval)
 	}
+	d.refusing.Store(true)
 	d.o.Log.Add(decisions.Info("drained", "jobs_left", d.submissions.Load(), "took_ms", (clock.Now() - start).Milliseconds()))
 }
 
--- a/host/agent.go
+++ b/host/agent.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a)); err != nil {
+	if _, err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a)); err != nil {
 		return err
 	}
 	p.group.Add(func() error { a.Run(p.drain); return nil }, func(error) {})
--- a/host/entry.go
+++ b/host/entry.go
@@ -15,23 +15,24 @@
 
 func setupEntry(p *process) error {
 	s := p.settings
+	var callers *http.Server
 	d := dispatchd.New(dispatchd.Options{
 		Name: s.Name, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
-		GracePeriod: s.GracePeriod, Log: p.log, Metrics: p.metrics,
+		GracePeriod: s.GracePeriod, CloseIdle: func() { callers.SetKeepAlivesEnabled(false) },
+		Log: p.log, Metrics: p.metrics,
 	})
-	for _, server := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"callers", s.CallerAddress, closeWhileDraining(d, platform.FrontHandler(d))},
-		{"readiness", s.ReadyAddress, platform.ReadyHandler(d)},
-		{"directory", s.ControlAddress, d.DirectoryHandler()},
-	} {
-		if err := p.addServer(server.name, server.address, server.handler); err != nil {
-			return err
-		}
+	var err error
+	callers, err = p.addServer("callers", s.CallerAddress, closeWhileDraining(d, platform.FrontHandler(d)))
+	if err != nil {
+		return err
+	}
+	if _, err := p.addServer("readiness", s.ReadyAddress, platform.ReadyHandler(d)); err != nil {
+		return err
+	}
+	if _, err := p.addServer("directory", s.ControlAddress, d.DirectoryHandler()); err != nil {
+		return err
 	}
 	p.group.Add(func() error { d.Run(p.drain); return nil }, func(error) {})
 	return nil
--- a/host/host.go
+++ b/host/host.go
@@ -104,7 +104,7 @@
 	log.Add(decisions.Info("started", "version", version.String(), "incarnation", p.incarnation, "zone", s.Zone,
 		"lease_ms", t.Lease.Milliseconds(), "silence_ms", t.Silence.Milliseconds(), "loss_wait_ms", t.LossWait.Milliseconds()))
 	p.addSignals(endDrain, file, agent)
-	if err := p.addServer("metrics", s.MetricsAddress, metricsHandler); err != nil {
+	if _, err := p.addServer("metrics", s.MetricsAddress, metricsHandler); err != nil {
 		return err
 	}
 	if err := setup(p); err != nil {
@@ -150,10 +150,10 @@
 }
 
 // addServer serves a handler until the process ends.
-func (p *process) addServer(name, address string, h http.Handler) error {
+func (p *process) addServer(name, address string, h http.Handler) (*http.Server, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return errors.Wrapf(err, "listen for %s", name)
+		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	p.group.Add(func() error {
@@ -168,5 +168,5 @@
 			p.log.Add(decisions.Warn("server ended with open connections", "server", name, "error", err.Error()))
 		}
 	})
-	return nil
+	return server, nil
 }
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -120,7 +120,7 @@
 			return
 		}
 	}
-	if !o.Need.Fit(s.free()) || s.suspect(now) && len(s.runs) > 0 {
+	if !o.Need.Fit(s.room(now)) {
 		s.answer(p, k, link.Busy)
 		return
 	}
@@ -128,6 +128,7 @@
 		key: k, need: o.Need, sized: true, estimate: time.Duration(o.EstimateMS) * time.Millisecond,
 		peer: id, entry: p.entry, sentAt: now, rate: rate{at: now},
 	}
+	s.lastStart = now
 	s.extendLease(now)
 	s.out.Starts = append(s.out.Starts, StartCall{
 		Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, LeaseUntil: s.leaseEnd(now), Life: s.worker.ID,
--- a/runner/speed.go
+++ b/runner/speed.go
@@ -12,7 +12,7 @@
 	// endedWeight is how long the rate of a finished run counts.
 	endedWeight = 400 * time.Millisecond
 	// priorSamples is how many runs the long-term speed weighs.
-	priorSamples = 2
+	priorSamples = 1
 	// longTerm is the time over which the long-term speed follows the present.
 	longTerm = 4 * time.Second
 	// forgetAfter is how long without a run the present speed is believed.
--- a/runner/state.go
+++ b/runner/state.go
@@ -119,6 +119,8 @@
 	failShare   float64
 	failAt      time.Duration
 	lastFailing string
+	// lastStart is when the last start was accepted.
+	lastStart time.Duration
 
 	out Actions
 }
@@ -178,6 +180,16 @@
 	return free
 }
 
+// room is what entries may use. A worker that fails most of what it runs gets
+// one task at a time, and not often: each is likely to fail, and while it fails
+// fast it always has room.
+func (s *State) room(now time.Duration) link.Resources {
+	if s.suspect(now) && (len(s.runs) > 0 || now-s.lastStart < probeInterval) {
+		return link.Resources{}
+	}
+	return s.free()
+}
+
 // suspect says whether the worker fails most of what it runs.
 func (s *State) suspect(now time.Duration) bool { return s.failureShare(now) > suspectShare }
 
@@ -279,7 +291,7 @@
 // complete fills in the state of the worker and resets what is to be sent.
 func (s *State) complete(now time.Duration, p *peer) link.Report {
 	rep := s.reportTo(p)
-	rep.Sequence, rep.Accepting, rep.Free = p.sequence, s.accepting(), s.free()
+	rep.Sequence, rep.Accepting, rep.Free = p.sequence, s.accepting(), s.room(now)
 	rep.Speed, rep.FailShare = float32(s.speed.speed()), float32(s.failureShare(now))
 	if w := s.worker; w != nil && w.ID != p.pushedWorker {
 		rep.Worker = &link.WorkerState{ID: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Labels: w.Labels}
@@ -292,7 +304,7 @@
 
 // pushChanges marks the entries that need to hear of a change.
 func (s *State) pushChanges(now time.Duration) {
-	free, accepting, speed := s.free(), s.accepting(), s.speed.speed()
+	free, accepting, speed := s.room(now), s.accepting(), s.speed.speed()
 	capacity := 1.0
 	if s.worker != nil {
 		capacity = float64(max(s.worker.Capacity.MilliCPU, 1))
--- a/runner/types.go
+++ b/runner/types.go
@@ -167,4 +167,6 @@
 	// suspectShare is the share of failures above which a worker gets one task
 	// at a time.
 	suspectShare = 0.5
+	// probeInterval is the time between two tasks of a suspect worker.
+	probeInterval = 300 * time.Millisecond
 )
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,7 +15,7 @@
 func NewLog(program string, s settings.Logging, out io.Writer) *logrus.Entry {
 	l := logrus.New()
 	l.SetOutput(out)
-	l.SetFormatter(&logrus.JSONFormatter{})
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if s.Format == "text" {
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	}
