--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -126,6 +126,7 @@
 		w.blockedUntil = now + refusalPause
 		s.again(now, t)
 	case link.Outdated, link.Closed:
+		t.failedOn = append(t.failedOn, w.name)
 		s.log(decisions.Info("start rejected", "job", t.id.Job, "task", t.describe(), "worker", w.name, "result", a.Result))
 		s.again(now, t)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -113,9 +113,12 @@
 type standing uint8
 
 const (
+	// urgent jobs can be on time and belong to the queues that the operator puts
+	// first.
+	urgent standing = iota
 	// onTrack jobs have most of their slack left, and jobs that have started: all
 	// of their work is lost if the rest isn't done.
-	onTrack standing = iota
+	onTrack
 	// marginal jobs are on time only if they run no longer than declared.
 	marginal
 	// late jobs can't be on time any more.
@@ -126,6 +129,9 @@
 // times are off by half, and so is the slack that follows from them: in an
 // overload, serving by the latest start alone brings every job in a little late.
 func (s *State) standing(now time.Duration, j *job) standing {
+	if j.ran && j.Priority == mostUrgent {
+		return urgent
+	}
 	if j.ran {
 		return onTrack
 	}
@@ -135,6 +141,8 @@
 	switch {
 	case waited > slack:
 		return late
+	case j.Priority == mostUrgent:
+		return urgent
 	case float64(waited) > onTrackShare*float64(slack):
 		return marginal
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -118,6 +118,10 @@
 	// slowWorkerMargin is how many times its predicted run time must fit before
 	// a task goes to a slow worker while fast ones have room.
 	slowWorkerMargin = 1.3
+	// mostUrgent is the priority that comes before all others. The others share
+	// what is left by their latest start: strict order would starve the last
+	// ones throughout an overload.
+	mostUrgent = 0
 	// onTrackShare is the share of a job's slack that it may have waited and still
 	// be expected on time.
 	onTrackShare = 0.5
--- a/host/host.go
+++ b/host/host.go
@@ -80,19 +80,20 @@
 		fmt.Fprintf(stdout, "%s: settings are valid\n", file)
 		return 0
 	}
-	if err := start(program, agent, file, s, t, stdout, setup); err != nil {
+	if err := start(context.Background(), program, agent, file, s, t, stdout, setup); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", program, err)
 		return 1
 	}
 	return 0
 }
 
-func start(program string, agent bool, file string, s *platform.Settings, t timing.Timings, out io.Writer, setup role) error {
+// start runs a role until the signal to end, or until ctx ends.
+func start(ctx context.Context, program string, agent bool, file string, s *platform.Settings, t timing.Timings, out io.Writer, setup role) error {
 	debug.SetGCPercent(gcPercent)
 	scope, metricsHandler, closer := telemetry.NewMetrics("sesamelift")
 	defer func() { _ = closer.Close() }()
 	log := decisions.New(telemetry.NewLog(program, settings.Logging{Level: "info", Format: "json"}, out).WithField("host", s.Name))
-	drain, endDrain := context.WithCancel(context.Background())
+	drain, endDrain := context.WithCancel(ctx)
 	defer endDrain()
 	p := &process{
 		settings: s, timings: t, incarnation: rand.Uint64(), log: log, metrics: scope, drain: drain,
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -223,6 +223,8 @@
 				s.answer(p, r.key, link.Closed)
 			}
 		}
+	case r.phase == starting && r.unanswered && now-r.sentAt >= lookTime:
+		s.stop(now, r, "its start had no answer")
 	case r.peer == 0 && now-r.orphanAt >= s.o.Grace:
 		s.stop(now, r, "its entry is gone")
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -258,6 +258,19 @@
 	b.Assert(b.s.Runs(), qt.Equals, 0)
 }
 
+// Guards against tasks that wait for ever for a worker that is gone: renewals
+// without an answer don't keep the lease alive.
+func TestLeaseOfAGoneWorkerRunsOut(t *testing.T) {
+	b := newReadyBed(t)
+	b.run(1, start("j", 0))
+	for range 40 {
+		b.order(1, &link.Orders{})
+		b.s.RenewFailed(b.now, "no answer", false)
+		b.wait(25 * ms)
+	}
+	b.Assert(b.s.Runs(), qt.Equals, 0)
+}
+
 func TestDrainingWorkerTakesNoStarts(t *testing.T) {
 	b := newReadyBed(t)
 	b.s.Announced(b.now, announcement(7, true))
--- a/runner/state.go
+++ b/runner/state.go
@@ -46,6 +46,8 @@
 	// stopSentAt and stopAckAt are those of the last stop call.
 	stopSentAt time.Duration
 	stopAckAt  time.Duration
+	// unanswered says that the start call had no answer.
+	unanswered bool
 	// answered says whether the entry was told of the start.
 	answered bool
 	// closed says that the entry was told that the run is over; the room stays
@@ -113,6 +115,8 @@
 	answeredAt time.Duration
 	reachable  bool
 	renewing   bool
+	// unanswered says that the last renewal had no answer.
+	unanswered bool
 	renewAt    time.Duration
 
 	speed       *speedMeter
--- a/runner/types.go
+++ b/runner/types.go
@@ -149,6 +149,8 @@
 	renewWait = 100 * time.Millisecond
 	// idleWait is the same while nothing runs.
 	idleWait = 250 * time.Millisecond
+	// lookTime is when a run whose start had no answer must have been listed.
+	lookTime = renewWait + 30*time.Millisecond
 	// stopRetry is the time between two stop calls for one run.
 	stopRetry = 60 * time.Millisecond
 	// pushInterval bounds how often an entry is told of changes that it didn't
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -27,10 +27,12 @@
 	if len(s.runs) > 0 || !s.clockKnown {
 		c.Wait = renewWait
 	}
-	if s.clockKnown {
+	if s.clockKnown && !s.unanswered {
 		c.LeaseUntil = s.leaseEnd(now)
 		s.extendLease(now)
 	} else {
+		// A worker that may be gone is only asked what runs: a renewal without an
+		// answer could go on for ever without its lease running out.
 		c.Wait = 0
 	}
 	s.renewing = true
@@ -57,9 +59,10 @@
 		s.confirm(now, r)
 		return
 	case StartUnanswered:
-		if r.confirmedAt == 0 {
-			s.stop(now, r, "its start had no answer")
-		}
+		// The run may be there all the same; then the next list shows it.
+		r.unanswered = true
+		s.countEnd(now, c.Task.Job, true)
+		s.tickRun(now, r)
 		return
 	}
 	s.log(decisions.Info("worker rejected a start", "job", r.task.Job, "step", r.task.Step, "task", r.task.Index,
@@ -103,7 +106,7 @@
 // listens at the worker's address, so that nothing runs there.
 func (s *State) RenewFailed(now time.Duration, why string, gone bool) {
 	s.wake(now)
-	s.renewing, s.renewAt = false, now+renewWait/2
+	s.renewing, s.renewAt, s.unanswered = false, now+renewWait/2, true
 	if s.reachable {
 		s.log(decisions.Warn("worker doesn't answer", "error", why, "answered_ms_ago", (now - s.answeredAt).Milliseconds(), "runs", len(s.runs)))
 	}
@@ -116,7 +119,7 @@
 // Renewed takes the worker's lists, which were asked for at sentAt.
 func (s *State) Renewed(now, sentAt time.Duration, l *Lists) {
 	s.wake(now)
-	s.renewing, s.renewAt = false, now
+	s.renewing, s.renewAt, s.unanswered = false, now, false
 	if l.Born != s.born {
 		if s.born != 0 && l.Born < s.born {
 			return
@@ -206,6 +209,10 @@
 		switch {
 		case r.stopAckAt > 0 && r.stopAckAt < sentAt && sentAt-r.stopAckAt >= s.o.StopTime:
 			s.end(now, r, link.Stopped)
+		case r.phase == stopping && r.confirmedAt == 0 && sentAt-r.sentAt > s.leaseBound()+s.o.StopTime:
+			// No stop had an answer, but the start named the end of its lease: the
+			// worker rejects it after that.
+			s.end(now, r, link.Stopped)
 		case r.confirmedAt > 0 && r.confirmedAt < sentAt:
 			s.log(decisions.Warn("run is gone from the worker", "job", k.task.Job, "step", k.task.Step, "task", k.task.Index, "attempt", k.attempt))
 			s.end(now, r, link.Vanished)
