Refuse late jobs while others wait that can be on time

What can't be served is to be refused at once.

Change: a job is refused on arrival when the work before it takes longer than it has, and when it becomes late while the room goes to others.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -287,6 +287,12 @@
 	if !j.ran {
 		limit = j.cutoff
 	}
+	if !j.ran && s.standing(now, j) == late && s.crowded(now, j.Service) {
+		// Room goes to jobs that can be on time, so that the caller had better
+		// come back.
+		s.giveUp(now, j, "no worker had room in time, and others wait")
+		return
+	}
 	if now+s.quickest(j) > limit {
 		s.giveUp(now, j, "no worker has room in time")
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	wait := s.expectedWait(now, j)
-	if now+wait+s.quickest(j) > j.cutoff {
+	if now+wait+s.quickest(j) > j.objective {
 		return s.overloaded(wait, "the queue is too long to answer in time")
 	}
 	return nil
@@ -176,6 +176,14 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool { return !j.hasReady() })
 }
 
+// crowded reports whether jobs wait for room that can still be on time.
+func (s *State) crowded(now time.Duration, service string) bool {
+	if s.freeShare(service) >= spareShare {
+		return false
+	}
+	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.Service == service && s.standing(now, j) != late })
+}
+
 // freeShare is the free share of the capacity of a service.
 func (s *State) freeShare(service string) float64 {
 	var total, free int64
