Dial lost agents every 50 ms; refuse nothing for want of room while warming up

Cause: after all processes were killed, runs of the earlier life took all room for 250 ms at restarted agents, since no entry claimed them, and entries refused 62 jobs in that time. An entry that stayed up dialed a lost agent after up to 700 ms, too late for the agent to keep its runs.

Change: a lost agent is dialed every 50 ms for two seconds, unclaimed runs that a restarted agent finds are stopped after 150 ms, and an entry refuses no job for want of room in its first second.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -29,7 +29,7 @@
 	if now >= j.cutoff {
 		return api.Refuse(api.ReasonDeadlinePast, "the deadline has passed")
 	}
-	if len(s.waiting) == 0 {
+	if len(s.waiting) == 0 || now-s.o.Started < warmUp {
 		return nil
 	}
 	wait := s.expectedWait(now, j)
@@ -178,7 +178,7 @@
 
 // crowded reports whether jobs wait for room that can still be on time.
 func (s *State) crowded(now time.Duration, service string) bool {
-	if s.freeShare(service) >= spareShare {
+	if now-s.o.Started < warmUp || s.freeShare(service) >= spareShare {
 		return false
 	}
 	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.Service == service && s.standing(now, j) != late })
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -87,6 +87,8 @@
 	RackSlowdown float64
 	// Seed differs between entries.
 	Seed uint64
+	// Started is when the entry started.
+	Started time.Duration
 	// MaxWaitingJobs bounds the jobs that wait for their first start.
 	MaxWaitingJobs int
 }
@@ -129,6 +131,9 @@
 	// started. Below it they would take the room of jobs that arrive within their
 	// run time and can be on time.
 	spareShare = 0.12
+	// warmUp is how long after its start an entry refuses no job for want of room:
+	// agents that restarted at the same time are about to have some.
+	warmUp = time.Second
 	// refusalPause is how long a worker that refused a start gets no other: some
 	// round trips to other zones.
 	refusalPause = 20 * time.Millisecond
--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
 	"github.com/sesamelift/sesamelift/link"
@@ -19,8 +20,10 @@
 	welcomeTimeout = time.Second
 	// redialMin and redialMax bound the pause between two attempts. An agent that
 	// is back within its lease can keep its runs.
-	redialMin = 30 * time.Millisecond
+	redialMin = 50 * time.Millisecond
 	redialMax = 700 * time.Millisecond
+	// redialSoon is how long after a loss an agent is dialed at redialMin.
+	redialSoon = 2 * time.Second
 )
 
 // agent is the connection to an agent; the core loop owns it.
@@ -81,14 +84,16 @@
 
 // dialLoop connects to an agent and reads its reports, again and again.
 func (d *Dispatcher) dialLoop(ctx context.Context, a *agent) {
-	delay := redialMin
+	lostAt := clock.Now()
 	for ctx.Err() == nil {
 		connected, err := d.serveAgent(ctx, a)
 		if connected {
-			delay = redialMin
+			lostAt = clock.Now()
 			d.post(func(now time.Duration) { d.lost(now, a, err) })
-		} else {
-			delay = min(2*delay, redialMax)
+		}
+		delay := redialMin
+		if clock.Now()-lostAt > redialSoon {
+			delay = redialMax
 		}
 		select {
 		case <-ctx.Done():
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -108,7 +108,7 @@
 	return &Dispatcher{
 		o: o, events: make(chan func(time.Duration), eventRing), ended: make(chan struct{}),
 		state: dispatch.New(dispatch.Options{
-			LossWait: o.Timings.LossWait, RackSlowdown: o.RackSlowdown, Seed: o.Incarnation, MaxWaitingJobs: maxWaitingJobs,
+			LossWait: o.Timings.LossWait, RackSlowdown: o.RackSlowdown, Seed: o.Incarnation, Started: clock.Now(), MaxWaitingJobs: maxWaitingJobs,
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		known:   knowledge{members: map[string]directory.Member{}},
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -209,6 +209,13 @@
 	return false
 }
 
+func (s *State) grace(r *run) time.Duration {
+	if r.sized {
+		return s.o.Grace
+	}
+	return min(s.o.Grace, adoptionGrace)
+}
+
 func (s *State) tickRun(now time.Duration, r *run) {
 	switch {
 	case r.phase == stopping:
@@ -225,7 +232,7 @@
 		}
 	case r.phase == starting && r.unanswered && now-r.sentAt >= lookTime:
 		s.stop(now, r, "its start had no answer")
-	case r.peer == 0 && now-r.orphanAt >= s.o.Grace:
+	case r.peer == 0 && now-r.orphanAt >= s.grace(r):
 		s.stop(now, r, "its entry is gone")
 	}
 }
--- a/runner/types.go
+++ b/runner/types.go
@@ -152,6 +152,10 @@
 	renewWait = 100 * time.Millisecond
 	// idleWait is the same while nothing runs.
 	idleWait = 250 * time.Millisecond
+	// adoptionGrace is how long runs that a restarted agent finds are left to be
+	// claimed: entries dial an agent that they have lost every 50 ms. Until then
+	// the size of the runs isn't known, and nothing else can start.
+	adoptionGrace = 150 * time.Millisecond
 	// lookTime is when a run whose start had no answer must have been listed.
 	lookTime = renewWait + 30*time.Millisecond
 	// stopRetry is the time between two stop calls for one run.
