Add a randomized fault soak; never say not run of an attempt whose fate is unknown

Cause: the first soak found a job that was refused as not run although two of its tasks ran: its starts were on their way to a paused agent, the connection was given up, and after the lease the tasks counted as ready again, without a trace of the attempt.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,10 @@
 .PHONY: demo
 demo: build
 	sh scripts/demo.sh
+
+# Runs the fault soak with fresh seeds; SEED=N plays one again.
+.PHONY: soak
+SEEDS ?= 10
+SEED ?= 0
+soak: build
+	bin/sesamelift-soak -seeds $(SEEDS) -seed $(SEED)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -119,6 +119,13 @@
 		func(b *bed) { b.tick(3 * time.Second) },
 		func(b *bed) { b.s.Suspended(b.now, time.Second) },
 		func(b *bed) { b.s.Disconnected(b.now, "w1", "closed"); b.s.Cancel(b.now, "a", "the entry ends") },
+		// Soak, seed 598297906: the start was on its way to a paused agent, and its
+		// task was ready again when the job was given up.
+		func(b *bed) { b.s.Disconnected(b.now, "w1", "silent"); b.tick(3 * time.Second) },
+		func(b *bed) {
+			b.report("w1", 0, 1, &link.Report{Answers: []link.StartAnswer{{Task: link.TaskID{Job: "a"}, Attempt: 1, Result: link.Closed}}})
+			b.tick(3 * time.Second)
+		},
 	} {
 		b := newBed(t)
 		b.worker("w1", 8, 1)
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -48,6 +48,7 @@
 		switch t.phase {
 		case starting, running, stopping:
 			t.phase, t.since, t.safeAt = lost, now, now+s.o.LossWait
+			t.job.inDoubt = true
 		default:
 			delete(w.tasks, id)
 		}
@@ -126,6 +127,8 @@
 		w.blockedUntil = now + refusalPause
 		s.again(now, t)
 	case link.Outdated, link.Closed:
+		// An attempt that is closed doesn't run any more, but it may have.
+		t.job.inDoubt = true
 		t.failedOn = append(t.failedOn, w.name)
 		s.log(decisions.Info("start rejected", "job", t.id.Job, "task", t.describe(), "worker", w.name, "result", a.Result))
 		s.again(now, t)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -66,8 +66,10 @@
 	cutoff    time.Duration
 	// startBy is the latest start of the longest chain that is on time.
 	startBy time.Duration
-	// ran says whether an attempt may have been started.
+	// ran says whether an attempt is known to have started.
 	ran bool
+	// inDoubt says that the fate of an attempt was never learnt.
+	inDoubt bool
 }
 
 type worker struct {
@@ -253,7 +255,7 @@
 	switch {
 	case j.ran:
 		return api.RanYes
-	case slices.ContainsFunc(j.tasks, func(t *task) bool {
+	case j.inDoubt, slices.ContainsFunc(j.tasks, func(t *task) bool {
 		return t.phase == starting || t.phase == lost || t.phase == stopping
 	}):
 		return api.RanMaybe
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -24,6 +24,9 @@
 // Store is the platform's store: rows with versions of a single counter, and a
 // feed of their changes.
 type Store struct {
+	// Rewrite, if set, changes the value of a row as readers see it.
+	Rewrite func(key string, value []byte) []byte
+
 	mu      sync.Mutex
 	faults  StoreFaults
 	version uint64
@@ -121,6 +124,11 @@
 }
 
 func (s *Store) answer(rows []row, more bool) storeAnswer {
+	if s.Rewrite != nil {
+		for i := range rows {
+			rows[i].Value = s.Rewrite(rows[i].Key, rows[i].Value)
+		}
+	}
 	return storeAnswer{Rows: rows, More: more, Version: s.version, NowMS: time.Since(s.started).Milliseconds()}
 }
 
