--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,8 +36,9 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
 	// Row returns one row; found is false if there is none.
 	Row(ctx context.Context, table, key string) (value []byte, found bool, err error)
-	// Put writes a row of one of the system's own tables.
+	// Put writes a row of one of the system's own tables, Remove removes it.
 	Put(ctx context.Context, table, key string, value []byte) error
+	Remove(ctx context.Context, table, key string) error
 }
 
 // MembersTable is the table in which the processes enter themselves.
@@ -69,8 +70,17 @@
 	// seconds in which a configuration has to be in force.
 	watchWait  = 1200 * time.Millisecond
 	watchSlack = 500 * time.Millisecond
+	// maxSlack bounds the slack, which doubles with each read that wasn't answered
+	// in time: a store that is slow is better than none.
+	maxSlack = 4 * time.Second
 	// readTimeout bounds other calls.
-	readTimeout = 800 * time.Millisecond
+	readTimeout = 1500 * time.Millisecond
+	// refreshInterval is the time between two writes of a member's row: 890 agents
+	// make three writes a second.
+	refreshInterval = 5 * time.Minute
+	// UnreachableLimit is how long a member may be unreachable for an entry that
+	// removes its row; it is back within refreshInterval if it lives.
+	UnreachableLimit = 15 * time.Minute
 	// retryMin and retryMax bound the pause after a failed call; each call has a
 	// price, also a refused one.
 	retryMin = 100 * time.Millisecond
@@ -81,7 +91,7 @@
 // full says that they are the whole table. failing is told when the store is
 // lost and when it is back.
 func Watch(ctx context.Context, s Store, table string, log *decisions.Log, apply func(rows []Row, full bool), failing func(bool)) {
-	w := watch{store: s, table: table, log: log}
+	w := watch{store: s, table: table, log: log, slack: watchSlack}
 	for ctx.Err() == nil {
 		rows, full, err := w.next(ctx)
 		if ctx.Err() != nil {
@@ -106,6 +116,7 @@
 	log      *decisions.Log
 	version  uint64
 	failures int
+	slack    time.Duration
 }
 
 func (w *watch) next(ctx context.Context) (rows []Row, full bool, err error) {
@@ -118,7 +129,7 @@
 		}
 		return rows, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+w.slack)
 	defer cancel()
 	rows, version, err := w.store.Changes(ctx, w.table, w.version, watchWait)
 	switch {
@@ -128,6 +139,9 @@
 		return nil, false, nil
 	case err == nil:
 		w.version = max(w.version, version)
+		w.slack = max(w.slack/2, watchSlack)
+	case errors.Is(err, context.DeadlineExceeded):
+		w.slack = min(2*w.slack, maxSlack)
 	}
 	return rows, false, err
 }
@@ -161,16 +175,17 @@
 	}
 }
 
-// Enter writes the row of a member, and writes it again when lost signals that
-// it is gone, until ctx ends.
-func Enter(ctx context.Context, s Store, m Member, log *decisions.Log, lost <-chan struct{}) {
+// Enter writes the row of a member, and writes it again from time to time: an
+// entry that couldn't reach the member for long may have removed it. It returns
+// when ctx ends.
+func Enter(ctx context.Context, s Store, m Member, log *decisions.Log) {
 	value, err := json.Marshal(m)
 	if err != nil {
 		log.Add(decisions.Warn("member can't be encoded", "error", err.Error()))
 		return
 	}
-	for {
-		for failures := 1; ; failures++ {
+	for ctx.Err() == nil {
+		for failures := 1; ctx.Err() == nil; failures++ {
 			err := put(ctx, s, MembersTable, m.Name, value)
 			if err == nil {
 				log.Add(decisions.Info("entered in the directory", "name", m.Name, "address", m.Address, "failures", failures-1))
@@ -180,16 +195,21 @@
 				log.Add(decisions.Warn("directory can't be written", "error", err.Error()))
 			}
 			pause(ctx, backoff(failures))
-			if ctx.Err() != nil {
-				return
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-lost:
 		}
+		pause(ctx, refreshInterval)
+	}
+}
+
+// RemoveMember removes the row of a member that was unreachable for
+// UnreachableLimit. Several entries may do so at a time.
+func RemoveMember(ctx context.Context, s Store, name string, log *decisions.Log) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := s.Remove(ctx, MembersTable, name); err != nil {
+		log.Add(decisions.Warn("row of an unreachable member can't be removed", "name", name, "error", err.Error()))
+		return
 	}
+	log.Add(decisions.Info("row of an unreachable member removed", "name", name, "unreachable_s", UnreachableLimit.Seconds()))
 }
 
 func put(ctx context.Context, s Store, table, key string, value []byte) error {
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -78,7 +78,7 @@
 	} else if w.reported && w.accepting != r.Accepting {
 		s.log(decisions.Info("worker changed", "worker", name, "accepting", r.Accepting))
 	}
-	w.reported, w.accepting, w.free, w.reportAt = true, r.Accepting, r.Free, now
+	w.reported, w.accepting, w.free = true, r.Accepting, r.Free
 	w.speed, w.failShare = max(float64(r.Speed), minSpeed), float64(r.FailShare)
 	for i := range r.Answers {
 		s.answered(now, w, &r.Answers[i])
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -78,7 +78,6 @@
 	state     link.WorkerState
 	accepting bool
 	reported  bool
-	reportAt  time.Duration
 	free      link.Resources
 	speed     float64
 	failShare float64
@@ -136,9 +135,6 @@
 // Waiting reports whether tasks wait for room.
 func (s *State) Waiting() bool { return len(s.waiting) > 0 }
 
-// Jobs returns the number of jobs in progress.
-func (s *State) Jobs() int { return len(s.jobs) }
-
 // NotStarted returns the number of jobs of a queue of which no task has started.
 func (s *State) NotStarted(queue string) int {
 	n := 0
--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -95,6 +95,10 @@
 		if clock.Now()-lostAt > redialSoon {
 			delay = redialMax
 		}
+		if clock.Now()-lostAt > directory.UnreachableLimit {
+			directory.RemoveMember(ctx, d.o.Store, a.name, d.o.Log)
+			lostAt = clock.Now()
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay):
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -135,7 +135,7 @@
 	wg.Go(func() { d.askPeers(helpers) })
 	wg.Go(func() { d.core(helpers) })
 	wg.Go(func() {
-		directory.Enter(helpers, d.o.Store, directory.Member{Name: d.o.Name, Role: directory.RoleEntry, Directory: d.o.DirectoryAddress}, d.o.Log, nil)
+		directory.Enter(helpers, d.o.Store, directory.Member{Name: d.o.Name, Role: directory.RoleEntry, Directory: d.o.DirectoryAddress}, d.o.Log)
 	})
 	<-ctx.Done()
 	d.drain()
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -13,7 +13,6 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(20*time.Millisecond, 1.5, 14)
 
 type metrics struct {
-	scope      tally.Scope
 	starts     tally.Counter
 	stops      tally.Counter
 	agentsLost tally.Counter
@@ -30,7 +29,7 @@
 
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{
-		scope: scope, starts: scope.Counter("task_starts_total"), stops: scope.Counter("task_stops_total"),
+		starts: scope.Counter("task_starts_total"), stops: scope.Counter("task_stops_total"),
 		agentsLost: scope.Counter("agent_connections_lost_total"),
 		latency:    map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		other: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
--- a/host/agent.go
+++ b/host/agent.go
@@ -41,8 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	member := directory.Member{Name: s.Name, Role: directory.RoleAgent, Address: a.Addr()}
 	p.group.Add(func() error {
-		directory.Enter(ctx, store, member, p.log, nil)
-		<-ctx.Done()
+		directory.Enter(ctx, store, member, p.log)
 		return nil
 	}, func(error) { cancel() })
 	p.group.Add(func() error {
--- a/link/conn.go
+++ b/link/conn.go
@@ -28,7 +28,7 @@
 	readBuffer     = 8 << 10
 )
 
-// Resources of a task fit into what is free.
+// Fit reports whether an amount fits into what is free.
 func (r Resources) Fit(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
 }
