--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,63 @@
+package link
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func pair(t *testing.T) (*Conn, *Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	a, err := Dialer(time.Second).Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	b, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	x, y := NewConn(a), NewConn(b)
+	t.Cleanup(func() { x.Close(); y.Close() })
+	return x, y
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	a, b := pair(t)
+	for i := range uint64(200) {
+		qt.Assert(t, a.Send(&Orders{Sequence: i, Starts: []Start{{Task: TaskID{Job: "j", Index: uint16(i)}, Attempt: 2, Spec: "s"}}}), qt.IsNil)
+	}
+	for i := range uint64(200) {
+		var o Orders
+		qt.Assert(t, b.Read(&o), qt.IsNil)
+		qt.Assert(t, o.Sequence, qt.Equals, i)
+		qt.Assert(t, o.Starts[0].Task.Index, qt.Equals, uint16(i))
+	}
+}
+
+// Guards against a peer that doesn't read and takes memory without bound.
+func TestFullRingClosesTheConnection(t *testing.T) {
+	a, b := pair(t)
+	spec := string(make([]byte, 1<<20))
+	var err error
+	for range 10 * sendRing {
+		if err = a.Send(&Orders{Starts: []Start{{Spec: spec}}}); err != nil {
+			break
+		}
+	}
+	qt.Assert(t, err, qt.ErrorMatches, "256 frames wait to be sent")
+	qt.Assert(t, a.Send(&Orders{}), qt.IsNotNil)
+	_ = b
+}
+
+func TestUnreadableFramesCloseTheConnection(t *testing.T) {
+	for name, bytes := range map[string][]byte{
+		"too large": {0xff, 0xff, 0xff, 0xff}, "no message": {0, 0, 0, 1, 0xc1}, "cut": {0, 0, 0, 9, 1},
+	} {
+		c, s := net.Pipe()
+		go func() { _, _ = c.Write(bytes); _ = c.Close() }()
+		conn := NewConn(s)
+		var o Orders
+		qt.Assert(t, conn.Read(&o), qt.IsNotNil, qt.Commentf("%s", name))
+		qt.Assert(t, conn.Send(&o), qt.IsNotNil)
+	}
+}
