Keep a start in doubt when only its repetition was rejected; limit the heap

Cause (found by reading): a start whose answer was lost may have run and ended by the time it is repeated. The worker then rejects the repetition as outdated, and the agent told the entry that nothing had run, which started the task again.

Change: only the first call's rejection counts; otherwise the lists decide. The heap is collected more often from 70% of the memory limit of the settings on.

--- a/host/host.go
+++ b/host/host.go
@@ -33,6 +33,9 @@
 	// gcPercent lets the heap grow to five times what is in use before it is
 	// collected: a process uses a few megabytes of the 140 that it has.
 	gcPercent = 400
+	// memoryShare is the share of the memory limit from which the heap is
+	// collected more often.
+	memoryShare = 0.7
 	// shutdownTimeout bounds the end of the HTTP servers.
 	shutdownTimeout = 300 * time.Millisecond
 	// headerTimeout and idleTimeout protect the servers from clients that send
@@ -90,6 +93,9 @@
 // start runs a role until the signal to end, or until ctx ends.
 func start(ctx context.Context, program string, agent bool, file string, s *platform.Settings, t timing.Timings, out io.Writer, setup role) error {
 	debug.SetGCPercent(gcPercent)
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
+	}
 	scope, metricsHandler, closer := telemetry.NewMetrics("sesamelift")
 	defer func() { _ = closer.Close() }()
 	log := decisions.New(telemetry.NewLog(program, settings.Logging{Level: "info", Format: "json"}, out).WithField("host", s.Name))
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -262,10 +262,7 @@
 		case <-ctx.Done():
 			return
 		case c := <-a.starts:
-			result, workerClock := runner.StartUnanswered, int64(0)
-			for n := 0; n < orderTries && result == runner.StartUnanswered; n++ {
-				result, workerClock = a.o.Worker.Start(ctx, c)
-			}
+			result, workerClock := startRepeated(ctx, a.o.Worker, c)
 			a.metrics.starts.Inc(1)
 			if result != runner.StartOK {
 				a.metrics.rejected.Inc(1)
@@ -275,6 +272,19 @@
 	}
 }
 
+// startRepeated repeats a start that has no answer. A rejection of a repetition
+// says nothing of the call before: its run may have ended already, or may still
+// come.
+func startRepeated(ctx context.Context, w Worker, c runner.StartCall) (runner.StartResult, int64) {
+	result, clock := w.Start(ctx, c)
+	for n := 1; n < orderTries && result == runner.StartUnanswered; n++ {
+		if result, clock = w.Start(ctx, c); result != runner.StartOK {
+			result = runner.StartUnanswered
+		}
+	}
+	return result, clock
+}
+
 func (a *Agent) stopLoop(ctx context.Context) {
 	for {
 		select {
