--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -130,7 +130,7 @@
 	// spareShare is the free share of the capacity above which late jobs are
 	// started. Below it they would take the room of jobs that arrive within their
 	// run time and can be on time.
-	spareShare = 0.12
+	spareShare = 0.07
 	// warmUp is how long after its start an entry refuses no job for want of room:
 	// agents that restarted at the same time are about to have some.
 	warmUp = time.Second
