Say that a closed connection takes no message

Send chose at random between a free place in the ring and the closed connection, so that a message to a lost peer was queued and reported as sent every other time. Its reader reports the loss all the same, so that no order depended on it.

Change: Send looks whether the connection is closed first.

--- a/link/conn.go
+++ b/link/conn.go
@@ -92,10 +92,13 @@
 		return c.fail(err)
 	}
 	select {
-	case c.ring <- b:
-		return nil
 	case <-c.closed:
 		return c.err
+	default:
+	}
+	select {
+	case c.ring <- b:
+		return nil
 	default:
 		return c.fail(errors.Errorf("%d frames wait to be sent", sendRing))
 	}
