--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -183,3 +183,13 @@
 	cancel()
 	<-done
 }
+
+func TestRowOfAnUnreachableMemberIsRemoved(t *testing.T) {
+	f := &fakeStore{}
+	RemoveMember(context.Background(), f, "a1", testLog())
+	qt.Assert(t, f.removed, qt.DeepEquals, []string{"a1"})
+	// A store that is away keeps the row; the next round tries again.
+	f.err = errors.New("away")
+	RemoveMember(context.Background(), f, "a1", testLog())
+	qt.Assert(t, f.removed, qt.HasLen, 2)
+}
