Speak one protocol with the platform's store

Cause: the product's own table interface had a client and a stand-in of a protocol of their own, beside platform.Store and standin/site for the users' platform: two clients, two stand-ins, two sets of faults for rows.

Change: platform.Store implements table.Platform as well, and is the only client. standin/store is the only stand-in; standin.Platform serves it over HTTP and uses the client in process.

Tests: the contract no longer asks for versions that rise by one, which the published protocol doesn't give, but for versions that rise and for lists bounded within nested keys. Replies: 503 and 429 now promise that nothing was written (published protocol), a 200 whose version can't be read is in doubt; 507 is new.

Ruled out: keeping both behind one interface (the second dialect stays); conditional reads (the store has none).

--- a/agent/registration.go
+++ b/agent/registration.go
@@ -146,7 +146,6 @@
 	if err := json.Unmarshal(row.Value, r); err != nil {
 		return errors.Wrap(err, "parse the roster")
 	}
-	r.Version = row.Version
 	a.post(rosterRead{r})
 	return nil
 }
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -16,6 +16,7 @@
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/sheet"
 	"github.com/sesamelift/sesamelift/table"
 )
@@ -61,7 +62,7 @@
 			case len(args) > 0:
 				return usageError{errors.New("workers takes no arguments")}
 			case *retire != "":
-				return retireWorker(ctx, e, table.NewClient(*addr), *retire)
+				return retireWorker(ctx, e, platform.NewStore(*addr), *retire)
 			}
 			return listWorkers(ctx, e, conn.client(), *asJSON)
 		})
@@ -137,7 +138,7 @@
 			if len(args) != 1 {
 				return usageError{errors.New("drain takes one worker")}
 			}
-			return drainWorker(ctx, e, table.NewClient(*addr), args[0], !*undo, *asJSON)
+			return drainWorker(ctx, e, platform.NewStore(*addr), args[0], !*undo, *asJSON)
 		})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/telemetry"
@@ -148,7 +149,7 @@
 	}()
 	return supervise(func(drain, stop context.Context) error {
 		return d.Serve(drain, stop, Runtime{
-			Credentials: creds, Platform: table.NewClient(s.PlatformAddress),
+			Credentials: creds, Platform: platform.NewStore(s.PlatformAddress),
 			Log:     telemetry.NewLog(d.Name, s.Logging, out),
 			Metrics: scope, MetricsHandler: handler, Tracer: tracer,
 		})
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -373,8 +373,8 @@
 // handover adopts the roster of the asker and names the keys that this entry
 // keeps although the asker owns them.
 func (p *peers) handover(ctx context.Context, m *wire.Handover) wire.Message {
-	r, err := parseRoster(m.Roster, m.RosterVersion)
-	if err != nil || r == nil {
+	r, err := parseRoster(m.Roster)
+	if err != nil || r == nil || r.Version != m.RosterVersion {
 		return nil
 	}
 	owned := r.OwnedBy(m.Asker)
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -117,10 +117,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the roster")
 	}
-	return parseRoster(row.Value, row.Version)
+	return parseRoster(row.Value)
 }
 
-func parseRoster(value []byte, version uint64) (*ownership.Roster, error) {
+func parseRoster(value []byte) (*ownership.Roster, error) {
 	if len(value) == 0 {
 		return nil, nil
 	}
@@ -128,23 +128,21 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, errors.Wrap(err, "decode the roster")
 	}
-	if r.Version != version {
-		return nil, errors.Errorf("the roster says version %d, its row has version %d", r.Version, version)
-	}
 	return &r, nil
 }
 
 // updateRoster changes the roster by compare-and-set. A lost reply is resolved
 // by reading back the operation id.
 func (e *Entry) updateRoster(ctx context.Context, change func(r *ownership.Roster, op string) *ownership.Roster) (*ownership.Roster, error) {
-	op := uuid.NewString()
+	return e.writeRoster(ctx, uuid.NewString(), change)
+}
+
+// writeRoster is updateRoster with an operation id that is known already.
+func (e *Entry) writeRoster(ctx context.Context, op string, change func(r *ownership.Roster, op string) *ownership.Roster) (*ownership.Roster, error) {
 	row, err := table.Update(ctx, e.o.Platform, table.RowRoster, op, func(old []byte) ([]byte, error) {
-		var r *ownership.Roster
-		if len(old) > 0 {
-			r = &ownership.Roster{}
-			if err := json.Unmarshal(old, r); err != nil {
-				return nil, errors.Wrap(err, "decode the roster")
-			}
+		r, err := parseRoster(old)
+		if err != nil {
+			return nil, err
 		}
 		n := change(r, op)
 		if n == nil || n == r {
@@ -155,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return parseRoster(row.Value, row.Version)
+	return parseRoster(row.Value)
 }
 
 func (e *Entry) join(ctx context.Context) (*ownership.Roster, error) {
@@ -215,16 +213,16 @@
 	if !ok || n == nil {
 		return nil
 	}
-	b, err := json.Marshal(n)
-	if err != nil {
-		return errors.Wrap(err, "encode the roster")
-	}
-	_, err = e.o.Platform.CompareAndSet(ctx, table.RowRoster, n.Version-1, b)
-	var conflict *table.ConflictError
+	written, err := e.writeRoster(ctx, op, func(r *ownership.Roster, _ string) *ownership.Roster {
+		if r == nil || r.Version+1 != n.Version {
+			// Another entry was faster. The next poll reads what is there; the
+			// confirmation is made again if it is missing.
+			return nil
+		}
+		return n
+	})
 	var doubt *table.DoubtError
-	if errors.As(err, &conflict) || errors.As(err, &doubt) {
-		// The next poll reads what is there; the confirmation is made again if
-		// it is missing.
+	if errors.As(err, &doubt) || err == nil && (written == nil || written.Op != op) {
 		return nil
 	}
 	if err == nil {
--- a/ownership/roster.go
+++ b/ownership/roster.go
@@ -19,7 +19,7 @@
 )
 
 // Roster is the membership record of the entries, the value of
-// platform.RowRoster. Version is the row's version. Rosters are immutable: Join,
+// table.RowRoster. Version rises by one with each write. Rosters are immutable: Join,
 // Remove and Confirm return a new one.
 type Roster struct {
 	Version uint64   `json:"version"`
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -31,7 +31,7 @@
 settings examples/cleft/agent-1.json "$dir/agent.json"
 
 start platform bin/sesamelift standin platform -address 127.0.0.1:19300
-bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:19300/v1/table?prefix=roster"
+bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:19300/-/rows-get?table=sesamelift-roster&part="
 bin/sesamelift slope sheet -agents 890 >"$dir/sheet.csv"
 bin/sesamelift sheet apply -platform 127.0.0.1:19300 -timeout 0s "$dir/sheet.csv" >/dev/null
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,7 +36,7 @@
 	shift 4
 	bin/sesamelift standin platform -address 127.0.0.1:$((base + 300)) >"run/logs/$name-platform.log" 2>&1 &
 	platforms="$platforms $!"
-	bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:$((base + 300))/v1/table?prefix=roster" || exit 1
+	bin/sesamelift demo wait -timeout 10s "http://127.0.0.1:$((base + 300))/-/rows-get?table=sesamelift-roster&part=" || exit 1
 	bin/sesamelift sheet apply -platform 127.0.0.1:$((base + 300)) -timeout 0s "examples/$name/sheet.csv" || exit 1
 	for i in 1 2; do
 		start "$name-entry-$i" bin/sesamelift-entry -settings "examples/$name/entry-$i.json"
--- a/sheet/cli/cli.go
+++ b/sheet/cli/cli.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/sheet"
 	"github.com/sesamelift/sesamelift/table"
 )
@@ -184,14 +185,14 @@
 	fs.Uint64Var(&c.base, "base", 0, "version that the plan was made for; another one is a conflict; 0 for the one in effect")
 }
 
-func (c *command) client() (*table.Client, error) {
+func (c *command) client() (table.Platform, error) {
 	if c.platform == "" {
 		return nil, usageError{"flag -platform is required: the IP address and port of the platform"}
 	}
 	if _, err := netip.ParseAddrPort(c.platform); err != nil {
 		return nil, usageError{fmt.Sprintf("flag -platform: %q is not an IP address and port", c.platform)}
 	}
-	return table.NewClient(c.platform), nil
+	return platform.NewStore(c.platform), nil
 }
 
 func operationID() (string, error) {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/standin/site"
+	"github.com/sesamelift/sesamelift/standin/store"
 )
 
 const (
@@ -57,7 +58,7 @@
 // deployment is what one seed runs.
 type deployment struct {
 	dir      string
-	store    *site.Store
+	store    *store.Store
 	storeSrv *http.Server
 	stores   map[string]*link
 	audit    *site.Audit
@@ -78,7 +79,7 @@
 
 // newDeployment starts entries and agents and waits for nothing.
 func newDeployment(dir, programs string, entries, agents int) (*deployment, error) {
-	d := &deployment{dir: dir, store: site.NewStore(), audit: site.NewAudit(), stores: map[string]*link{}, version: 10}
+	d := &deployment{dir: dir, store: store.New(), audit: site.NewAudit(), stores: map[string]*link{}, version: 10}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sesamelift/sesamelift/standin/site"
+	"github.com/sesamelift/sesamelift/standin/store"
 )
 
 // fault is something that is done to a deployment and undone after a while.
@@ -83,12 +84,12 @@
 		return p.name, func() { k.set(0, false, false) }
 	}},
 	{"store refuses", func(d *deployment, r *rand.Rand) (string, func()) {
-		d.store.SetFaults(site.StoreFaults{Refuse: true})
-		return "", func() { d.store.SetFaults(site.StoreFaults{}) }
+		d.store.SetFaults(store.Faults{Unavailable: true})
+		return "", func() { d.store.SetFaults(store.Faults{}) }
 	}},
 	{"store loses answers", func(d *deployment, r *rand.Rand) (string, func()) {
-		d.store.SetFaults(site.StoreFaults{LoseAnswers: true, Delay: time.Duration(r.IntN(300)) * time.Millisecond})
-		return "", func() { d.store.SetFaults(site.StoreFaults{}) }
+		d.store.SetFaults(store.Faults{LoseReplies: -1, DelayMS: r.IntN(300)})
+		return "", func() { d.store.SetFaults(store.Faults{}) }
 	}},
 	{"store forgets", func(d *deployment, r *rand.Rand) (string, func()) { d.store.Forget(); return "", nothing }},
 	{"configure", func(d *deployment, r *rand.Rand) (string, func()) {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -361,3 +361,9 @@
 
 // String names the worker.
 func (w *Worker) String() string { return fmt.Sprintf("worker %s", w.o.ID) }
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -30,7 +31,24 @@
 	PrefixReports = "reports/"
 )
 
-// ErrUnavailable says that the platform did not answer a read.
+const (
+	// DefaultTimeout bounds one call. A synced write of the platform takes several
+	// milliseconds, so that a second call after this time is rarely wasted.
+	DefaultTimeout = 3 * time.Second
+	// MaxValueBytes bounds the value of a row, in bytes: a transaction of the
+	// platform's store holds 1 MB in base64. A configuration of 890 workers takes
+	// about 100 KB.
+	MaxValueBytes = 512 << 10
+	// MaxObjectBytes bounds an object, in bytes (the platform's bound).
+	MaxObjectBytes = 8 << 20
+)
+
+// ErrTooLarge says that a value or an object exceeds its limit. Nothing was
+// written.
+var ErrTooLarge = errors.New("value is larger than the platform takes")
+
+// ErrUnavailable says that the platform did not answer a read, or refused a
+// write without carrying it out.
 var ErrUnavailable = errors.New("platform is unavailable")
 
 // ErrNotFound says that there is no such row or object.
@@ -67,22 +85,23 @@
 
 // Row is a row of the table.
 type Row struct {
-	Key string `json:"key"`
-	// Version is 1 for a new row and rises by one with each write; 0 means that
-	// there is no row.
-	Version uint64 `json:"version"`
-	Value   []byte `json:"value"`
+	Key string
+	// Version rises with each write of the row, and all rows share one counter; 0
+	// means that there is no row.
+	Version uint64
+	Value   []byte
 }
 
 // Table is the transactional table service.
 type Table interface {
 	// Get returns a row, ErrNotFound or ErrUnavailable.
 	Get(ctx context.Context, key string) (Row, error)
-	// List returns the rows whose keys begin with prefix, in key order.
+	// List returns the rows whose keys begin with prefix, which ends with a slash,
+	// in key order.
 	List(ctx context.Context, prefix string) ([]Row, error)
 	// CompareAndSet writes value if the row has version want; 0 means that the
 	// row must not exist. It returns the new row, a *ConflictError, a
-	// *DoubtError, or ErrUnavailable when nothing was sent.
+	// *DoubtError, or ErrUnavailable when certainly nothing was written.
 	CompareAndSet(ctx context.Context, key string, want uint64, value []byte) (Row, error)
 	// Delete removes the row if it has version want. Errors as CompareAndSet.
 	Delete(ctx context.Context, key string, want uint64) error
--- a/table/tabletest/contract.go
+++ b/table/tabletest/contract.go
@@ -21,7 +21,7 @@
 		name string
 		run  func(c *qt.C, ctx context.Context, p table.Platform)
 	}{
-		{"versions rise by one", versions},
+		{"versions rise with each write", versions},
 		{"a stale version conflicts and shows the row", conflicts},
 		{"delete needs the version", deletes},
 		{"list is ordered and bounded by the prefix", lists},
@@ -37,13 +37,16 @@
 func versions(c *qt.C, ctx context.Context, p table.Platform) {
 	_, err := p.Get(ctx, "config/current")
 	c.Assert(errors.Is(err, table.ErrNotFound), qt.IsTrue, qt.Commentf("%v", err))
-	for want := range uint64(3) {
-		row, err := p.CompareAndSet(ctx, "config/current", want, []byte{byte(want)})
+	var last uint64
+	for i := range 3 {
+		row, err := p.CompareAndSet(ctx, "config/current", last, []byte{byte(i)})
 		c.Assert(err, qt.IsNil)
-		c.Assert(row, qt.DeepEquals, table.Row{Key: "config/current", Version: want + 1, Value: []byte{byte(want)}})
+		c.Assert(row.Version > last, qt.IsTrue, qt.Commentf("version %d after %d", row.Version, last))
+		c.Assert(row, qt.DeepEquals, table.Row{Key: "config/current", Version: row.Version, Value: []byte{byte(i)}})
 		got, err := p.Get(ctx, "config/current")
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.DeepEquals, row)
+		last = row.Version
 	}
 }
 
@@ -52,33 +55,31 @@
 	_, err := p.CompareAndSet(ctx, "roster", 4, []byte("x"))
 	c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(conflict.Current.Version, qt.Equals, uint64(0))
-	_, err = p.CompareAndSet(ctx, "roster", 0, []byte("a"))
+	row, err := p.CompareAndSet(ctx, "roster", 0, []byte("a"))
 	c.Assert(err, qt.IsNil)
-	for _, want := range []uint64{0, 2} {
+	for _, want := range []uint64{0, row.Version + 1} {
 		_, err = p.CompareAndSet(ctx, "roster", want, []byte("b"))
 		c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
-		c.Assert(conflict, qt.DeepEquals, &table.ConflictError{
-			Key: "roster", Want: want, Current: table.Row{Key: "roster", Version: 1, Value: []byte("a")},
-		})
+		c.Assert(conflict, qt.DeepEquals, &table.ConflictError{Key: "roster", Want: want, Current: row})
 	}
 }
 
 func deletes(c *qt.C, ctx context.Context, p table.Platform) {
-	_, err := p.CompareAndSet(ctx, "agents/w1", 0, []byte("a"))
+	row, err := p.CompareAndSet(ctx, "agents/w1", 0, []byte("a"))
 	c.Assert(err, qt.IsNil)
 	_, err = p.Get(ctx, "agents/w1")
 	c.Assert(err, qt.IsNil)
 	var conflict *table.ConflictError
-	c.Assert(errors.As(p.Delete(ctx, "agents/w1", 2), &conflict), qt.IsTrue)
-	c.Assert(conflict.Current.Version, qt.Equals, uint64(1))
-	c.Assert(p.Delete(ctx, "agents/w1", 1), qt.IsNil)
+	c.Assert(errors.As(p.Delete(ctx, "agents/w1", row.Version+1), &conflict), qt.IsTrue)
+	c.Assert(conflict.Current.Version, qt.Equals, row.Version)
+	c.Assert(p.Delete(ctx, "agents/w1", row.Version), qt.IsNil)
 	_, err = p.Get(ctx, "agents/w1")
 	c.Assert(errors.Is(err, table.ErrNotFound), qt.IsTrue)
-	c.Assert(errors.As(p.Delete(ctx, "agents/w1", 1), &conflict), qt.IsTrue)
-	// A row that is written again must not be confused with the deleted one of
-	// the same version.
-	_, err = p.CompareAndSet(ctx, "agents/w1", 0, []byte("b"))
+	c.Assert(errors.As(p.Delete(ctx, "agents/w1", row.Version), &conflict), qt.IsTrue)
+	// A row that is written again must not be confused with the deleted one.
+	again, err := p.CompareAndSet(ctx, "agents/w1", 0, []byte("b"))
 	c.Assert(err, qt.IsNil)
+	c.Assert(again.Version > row.Version, qt.IsTrue)
 	for range 2 {
 		row, err := p.Get(ctx, "agents/w1")
 		c.Assert(err, qt.IsNil)
@@ -87,14 +88,19 @@
 }
 
 func lists(c *qt.C, ctx context.Context, p table.Platform) {
-	for _, key := range []string{"agents/w2", "agents/w10", "agent", "agents/w1", "reports/e1"} {
-		_, err := p.CompareAndSet(ctx, key, 0, []byte(key))
+	versions := map[string]uint64{}
+	for _, key := range []string{
+		"agents/w2", "agents/w10", "agent", "agents/w1", "reports/e1", "config/history", "config/history/1", "config/history/2", "config/history0",
+	} {
+		row, err := p.CompareAndSet(ctx, key, 0, []byte(key))
 		c.Assert(err, qt.IsNil)
+		versions[key] = row.Version
 	}
 	for prefix, want := range map[string][]string{
-		"agents/":  {"agents/w1", "agents/w10", "agents/w2"},
-		"reports/": {"reports/e1"},
-		"none/":    nil,
+		"agents/":         {"agents/w1", "agents/w10", "agents/w2"},
+		"reports/":        {"reports/e1"},
+		"config/history/": {"config/history/1", "config/history/2"},
+		"none/":           nil,
 	} {
 		rows, err := p.List(ctx, prefix)
 		c.Assert(err, qt.IsNil)
@@ -102,7 +108,7 @@
 		for _, r := range rows {
 			keys = append(keys, r.Key)
 			c.Assert(string(r.Value), qt.Equals, r.Key)
-			c.Assert(r.Version, qt.Equals, uint64(1))
+			c.Assert(r.Version, qt.Equals, versions[r.Key])
 		}
 		c.Assert(keys, qt.DeepEquals, want)
 	}
--- a/table/update.go
+++ b/table/update.go
@@ -121,7 +121,7 @@
 		case u.own(current, want, value):
 			return current, nil
 		case current.Version != want:
-			return Row{}, &DoubtError{Key: u.key, Cause: errors.Errorf("row has version %d of another writer, expected %d", current.Version, want+1)}
+			return Row{}, &DoubtError{Key: u.key, Cause: errors.Errorf("row has version %d of another writer, expected %d", current.Version, want)}
 		}
 	}
 }
@@ -132,7 +132,7 @@
 	if u.op != "" && Op(row.Value) == u.op {
 		return true
 	}
-	return row.Version == want+1 && bytes.Equal(row.Value, value)
+	return row.Version > want && bytes.Equal(row.Value, value)
 }
 
 // readBack reads the row until the platform answers or ctx ends.
