Ask a worker that closes its connections rarely, and send it no work

Cause: a worker that is down by turns closes each connection at once.

Change: a renewal tells a closed connection from a missing answer. Three in a row take the worker out of use until it answers; pauses grow to 200 ms, stops are repeated every 250 ms, and calls for one order are 20 ms apart. An announcement has the worker asked at once.

Ruled out: to treat it as a worker that is gone (runs may go on; a reset of all connections looks the same once).

TestWorkerThatClosesItsConnectionsIsAskedRarely fails without the mechanism (starts accepted for 300 ms).

--- a/runner/entries.go
+++ b/runner/entries.go
@@ -216,10 +216,17 @@
 	return min(s.o.Grace, adoptionGrace)
 }
 
+func (s *State) stopInterval() time.Duration {
+	if s.reachable {
+		return stopRetry
+	}
+	return lostStopRetry
+}
+
 func (s *State) tickRun(now time.Duration, r *run) {
 	switch {
 	case r.phase == stopping:
-		if r.stopAckAt == 0 && now-r.stopSentAt >= stopRetry {
+		if r.stopAckAt == 0 && now-r.stopSentAt >= s.stopInterval() {
 			s.sendStop(now, r)
 		}
 		// A run that was never listed can't start any more once its stop was
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -283,7 +283,7 @@
 func TestRenewalsOfALossyWorker(t *testing.T) {
 	b := newReadyBed(t)
 	b.run(1, start("j", 0))
-	b.s.RenewFailed(b.now, "no answer", false)
+	b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
 	b.take()
 	b.Assert(b.renew.LeaseUntil, qt.Equals, int64(0), qt.Commentf("the worker is asked whether it lives"))
 	b.listed(Running{Task: task("j", 0), Attempt: 1})
@@ -298,19 +298,65 @@
 		b.now += 10 * ms
 	}
 	b.Assert(sent, qt.Equals, 2)
-	b.s.RenewFailed(b.now, "no answer", false)
+	b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
 	b.order(1, &link.Orders{Starts: []link.Start{start("j", 1)}})
 	b.Assert(b.starts, qt.HasLen, 1)
 }
 
 // Guards against tasks that wait for ever for a worker that is gone: renewals
 // without an answer don't keep the lease alive.
+// Load pattern: workers go down and up by turns, and while down they close each
+// connection at once. Guards against hundreds of calls a second to them, and
+// against work that is sent there.
+func TestWorkerThatClosesItsConnectionsIsAskedRarely(t *testing.T) {
+	b := newReadyBed(t)
+	b.run(1, start("j", 0))
+	calls, refusedAt := 0, time.Duration(0)
+	down := b.now
+	for ; b.now < down+2*time.Second; b.now += ms {
+		b.s.Tick(b.now)
+		b.take()
+		calls += len(b.stops)
+		if b.renew != nil {
+			calls++
+			b.renew = nil
+			b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+		}
+		if refusedAt == 0 && !b.s.accepting() {
+			refusedAt = b.now - down
+		}
+	}
+	b.Assert(refusedAt > 0 && refusedAt < 60*ms, qt.IsTrue, qt.Commentf("starts were accepted for %v", refusedAt))
+	b.Assert(calls <= 25, qt.IsTrue, qt.Commentf("%d calls in two seconds", calls))
+	// It announces itself when it is back, and is asked at once.
+	b.s.Announced(b.now, announcement(7, false))
+	b.take()
+	b.Assert(b.renew, qt.IsNotNil)
+	b.listed()
+	b.Assert(b.s.accepting(), qt.IsTrue)
+}
+
+// Guards against a worker that gets no work because all connections were reset
+// once.
+func TestResetOfAllConnectionsLeavesTheWorkerInUse(t *testing.T) {
+	b := newReadyBed(t)
+	for range maxBroken - 1 {
+		b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+	}
+	b.Assert(b.s.accepting(), qt.IsTrue)
+	b.wait(25 * ms)
+	b.Assert(b.renew, qt.IsNotNil)
+	b.listed()
+	b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+	b.Assert(b.s.accepting(), qt.IsTrue)
+}
+
 func TestLeaseOfAGoneWorkerRunsOut(t *testing.T) {
 	b := newReadyBed(t)
 	b.run(1, start("j", 0))
 	for range 40 {
 		b.order(1, &link.Orders{})
-		b.s.RenewFailed(b.now, "no answer", false)
+		b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
 		b.wait(25 * ms)
 	}
 	b.Assert(b.s.Runs(), qt.Equals, 0)
--- a/runner/state.go
+++ b/runner/state.go
@@ -117,8 +117,10 @@
 	// answeredAt is when the worker last answered a renewal.
 	answeredAt time.Duration
 	reachable  bool
-	// renewing counts the renewals under way.
+	// renewing counts the renewals under way, failures those that failed since the
+	// last answer.
 	renewing int
+	failures int
 	// unanswered says that the last renewal had no answer, lossyUntil how long the
 	// worker counts as leaving calls unanswered.
 	unanswered bool
@@ -239,6 +241,10 @@
 			"draining", a.Draining, "leaves_in_ms", a.Leaves.Milliseconds()))
 	}
 	s.worker = &a
+	if !s.reachable {
+		// It may be back, and is asked at once.
+		s.renewAt = now
+	}
 	return true
 }
 
--- a/runner/types.go
+++ b/runner/types.go
@@ -109,6 +109,20 @@
 	Wait time.Duration
 }
 
+// RenewFault says why a renewal had no answer.
+type RenewFault uint8
+
+// Faults of a renewal.
+const (
+	// RenewUnanswered says that the wait for the answer ended.
+	RenewUnanswered RenewFault = iota
+	// RenewBroken says that the worker closed the connection; runs may go on.
+	RenewBroken
+	// RenewNoListener says that nothing listens at the worker's address, so that
+	// nothing runs there.
+	RenewNoListener
+)
+
 // Report is a report to one entry.
 type Report struct {
 	Peer   Peer
@@ -160,6 +174,16 @@
 	// unreachableAfter is how long a worker may answer nothing and still get
 	// starts.
 	unreachableAfter = 300 * time.Millisecond
+	// maxBroken is how many renewals in a row may end with a broken connection and
+	// the worker still get starts: a reset of all connections breaks the two that
+	// may be under way.
+	maxBroken = 3
+	// brokenPause is the pause after the second of them.
+	brokenPause = 20 * time.Millisecond
+	// minLostPause and maxLostPause bound the pause between two renewals of a
+	// worker that doesn't answer; it announces itself when it is back.
+	minLostPause = 50 * time.Millisecond
+	maxLostPause = 200 * time.Millisecond
 	// idleWait is the same while nothing runs.
 	idleWait = 250 * time.Millisecond
 	// adoptionGrace is how long runs that a restarted agent finds are left to be
@@ -168,8 +192,10 @@
 	adoptionGrace = 150 * time.Millisecond
 	// lookTime is when a run whose start had no answer must have been listed.
 	lookTime = renewWait + 30*time.Millisecond
-	// stopRetry is the time between two stop calls for one run.
-	stopRetry = 60 * time.Millisecond
+	// stopRetry is the time between two stop calls for one run, lostStopRetry the
+	// same while the worker doesn't answer.
+	stopRetry     = 60 * time.Millisecond
+	lostStopRetry = 250 * time.Millisecond
 	// pushInterval bounds how often an entry is told of changes that it didn't
 	// ask for, and pushShare how much of the capacity must have changed.
 	pushInterval = 40 * time.Millisecond
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -114,26 +114,41 @@
 	}
 }
 
-// RenewFailed takes note that a renewal had no answer. gone says that nothing
-// listens at the worker's address, so that nothing runs there.
-func (s *State) RenewFailed(now time.Duration, why string, gone bool) {
+// RenewFailed takes note that a renewal had no answer.
+func (s *State) RenewFailed(now time.Duration, why string, fault RenewFault) {
 	s.wake(now)
-	s.renewing, s.renewAt, s.unanswered = s.renewing-1, now, true
+	s.renewing, s.unanswered = s.renewing-1, true
 	s.lossyUntil = now + lossyMemory
-	if !gone && now-s.answeredAt < unreachableAfter {
+	s.failures++
+	broken := fault == RenewBroken && s.failures >= maxBroken
+	lost := fault == RenewNoListener || broken || now-s.answeredAt >= unreachableAfter
+	s.renewAt = now + s.renewPause(fault, lost)
+	if !lost {
 		return
 	}
-	// A worker that is gone for some time is asked less often.
-	s.renewAt = now + renewWait/2
 	if s.reachable {
-		s.log(decisions.Warn("worker doesn't answer", "error", why, "answered_ms_ago", (now - s.answeredAt).Milliseconds(), "runs", len(s.runs)))
+		s.log(decisions.Warn("worker doesn't answer", "error", why, "failures", s.failures,
+			"answered_ms_ago", (now - s.answeredAt).Milliseconds(), "runs", len(s.runs)))
 	}
 	s.reachable = false
-	if gone {
+	if fault == RenewNoListener {
 		s.loseAll(now, link.Vanished)
 	}
 }
 
+// renewPause is how long after a failed renewal the next one is made. One that
+// had no answer took its time; one that fails at once would be repeated without
+// end.
+func (s *State) renewPause(fault RenewFault, lost bool) time.Duration {
+	switch {
+	case lost:
+		return min(minLostPause<<min(s.failures/2, 8), maxLostPause)
+	case fault == RenewBroken && s.failures > 1:
+		return brokenPause
+	}
+	return 0
+}
+
 // Renewed takes the worker's lists, which were asked for at sentAt.
 func (s *State) Renewed(now, sentAt time.Duration, l *Lists) {
 	s.wake(now)
@@ -153,7 +168,7 @@
 	if !s.reachable {
 		s.log(decisions.Info("worker answers", "born", l.Born, "running", len(l.Running)))
 	}
-	s.reachable, s.answeredAt = true, now
+	s.reachable, s.answeredAt, s.failures = true, now, 0
 	s.sawClock(now, l.Clock)
 	s.useRecalled()
 	for i := range l.Ended {
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -36,6 +36,9 @@
 	// orderTries bounds the calls for one start or stop. Both may be repeated: the
 	// worker knows a run by its attempt.
 	orderTries = 3
+	// orderInterval is the shortest time between two calls for one order: a worker
+	// that closes its connections leaves each call unanswered at once.
+	orderInterval = 20 * time.Millisecond
 	// renewers is how many renewals may be under way.
 	renewers = 2
 	// callers is how many calls to the worker are made at once; an unanswered one
@@ -47,8 +50,13 @@
 	helloTimeout = time.Second
 )
 
-// ErrNoWorker says that nothing listens at the worker's address.
-var ErrNoWorker = errors.New("nothing listens at the worker's address")
+// Errors of a renewal.
+var (
+	// ErrNoWorker says that nothing listens at the worker's address.
+	ErrNoWorker = errors.New("nothing listens at the worker's address")
+	// ErrBroken says that the worker closed the connection without an answer.
+	ErrBroken = errors.New("the worker closed the connection")
+)
 
 // Worker makes calls to the worker.
 type Worker interface {
@@ -57,7 +65,8 @@
 	Start(ctx context.Context, c runner.StartCall) (runner.StartResult, int64)
 	// Stop reports whether the worker acknowledged the stop.
 	Stop(ctx context.Context, c runner.StopCall) bool
-	// Renew renews the lease. ErrNoWorker says that nothing can be running.
+	// Renew renews the lease. ErrNoWorker says that nothing can be running,
+	// ErrBroken that the next call would fail as fast.
 	Renew(ctx context.Context, c runner.RenewCall) (*runner.Lists, error)
 }
 
@@ -247,7 +256,7 @@
 			a.post(func(now time.Duration) {
 				if err != nil {
 					a.metrics.renewFailures.Inc(1)
-					a.state.RenewFailed(now, err.Error(), errors.Is(err, ErrNoWorker))
+					a.state.RenewFailed(now, err.Error(), renewFault(err))
 					return
 				}
 				a.state.Renewed(now, sentAt, lists)
@@ -256,6 +265,16 @@
 	}
 }
 
+func renewFault(err error) runner.RenewFault {
+	switch {
+	case errors.Is(err, ErrNoWorker):
+		return runner.RenewNoListener
+	case errors.Is(err, ErrBroken):
+		return runner.RenewBroken
+	}
+	return runner.RenewUnanswered
+}
+
 func (a *Agent) startLoop(ctx context.Context) {
 	for {
 		select {
@@ -276,13 +295,22 @@
 // says nothing of the call before: its run may have ended already, or may still
 // come.
 func startRepeated(ctx context.Context, w Worker, c runner.StartCall) (runner.StartResult, int64) {
-	result, clock := w.Start(ctx, c)
+	called := time.Now()
+	result, workerClock := w.Start(ctx, c)
 	for n := 1; n < orderTries && result == runner.StartUnanswered; n++ {
-		if result, clock = w.Start(ctx, c); result != runner.StartOK {
+		called = nextCall(called)
+		if result, workerClock = w.Start(ctx, c); result != runner.StartOK {
 			result = runner.StartUnanswered
 		}
 	}
-	return result, clock
+	return result, workerClock
+}
+
+// nextCall waits until an order whose last call began at called may be repeated,
+// and returns the time.
+func nextCall(called time.Time) time.Time {
+	time.Sleep(orderInterval - time.Since(called))
+	return time.Now()
 }
 
 func (a *Agent) stopLoop(ctx context.Context) {
@@ -291,8 +319,10 @@
 		case <-ctx.Done():
 			return
 		case c := <-a.stops:
-			ok := false
-			for n := 0; n < orderTries && !ok; n++ {
+			called := time.Now()
+			ok := a.o.Worker.Stop(ctx, c)
+			for n := 1; n < orderTries && !ok; n++ {
+				called = nextCall(called)
 				ok = a.o.Worker.Stop(ctx, c)
 			}
 			a.post(func(now time.Duration) { a.state.StopDone(now, c, ok) })
