Keep tasks in the entry's zone among equal workers; report to many entries less often

Entries chose among equal workers by a random preference, whatever their zone, and each agent told each of 14 entries of every change of 15%, up to 25 times a second: traffic that grows with entries times agents.

Change: a worker in another zone ranks 8% behind an equal one. Reports that no entry asked for are at least 10 ms apart on average over all entries of an agent; an entry whose tasks wait for room still hears of it in 40 ms.

Ruled out: longer pings (silence is 500 ms, and a lost packet takes 200 ms).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -41,10 +41,12 @@
 }
 
 // worker connects an agent whose worker has room for tasks of four cores.
-func (b *bed) worker(name string, room int, speed float64) {
+func (b *bed) worker(name string, room int, speed float64) { b.workerIn("", name, room, speed) }
+
+func (b *bed) workerIn(zone, name string, room int, speed float64) {
 	b.s.Connected(b.now, name)
 	b.report(name, room, speed, &link.Report{Worker: &link.WorkerState{
-		ID: "life-" + name, Service: "service", Capacity: link.Resources{MilliCPU: int64(room) * 4000, MemoryMB: 1 << 20},
+		ID: "life-" + name, Service: "service", Zone: zone, Capacity: link.Resources{MilliCPU: int64(room) * 4000, MemoryMB: 1 << 20},
 	}})
 }
 
@@ -274,6 +276,33 @@
 
 // Load pattern: the queue is long, and a worker with free room refuses what it
 // is offered. It isn't asked again and again.
+// Load pattern: an ordinary load on workers of like speed in several zones.
+// Guards against traffic between zones while the own one has room, and against
+// an own zone that is filled while others are idle.
+func TestTasksStayInTheirZoneWhileItHasRoom(t *testing.T) {
+	b := newBed(t)
+	b.s.o.Zone = "near"
+	b.workerIn("near", "n1", 20, 1)
+	b.workerIn("near", "n2", 20, 1)
+	b.workerIn("far", "f1", 20, 1)
+	b.workerIn("far", "f2", 20, 1)
+	for i := range 4 {
+		b.accept(b.job(fmt.Sprint("j", i), 2, 100*ms))
+	}
+	starts := b.starts()
+	b.Assert(len(starts["n1"])+len(starts["n2"]), qt.Equals, 8)
+	for i := range 12 {
+		b.accept(b.job(fmt.Sprint("k", i), 4, 100*ms))
+	}
+	starts = b.starts()
+	far := len(starts["f1"]) + len(starts["f2"])
+	b.Assert(far >= 8, qt.IsTrue, qt.Commentf("%d of 48 tasks went to the other zone", far))
+	// A faster worker is worth the way.
+	b.workerIn("far", "f3", 20, 1.3)
+	b.accept(b.job("l", 1, 100*ms))
+	b.Assert(b.starts()["f3"], qt.HasLen, 1)
+}
+
 func TestRefusingWorkerIsLeftAlone(t *testing.T) {
 	b := newBed(t)
 	b.worker("w1", 8, 1)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -316,11 +316,16 @@
 
 // cost ranks workers: the predicted run time, longer where starts fail, and a
 // little longer where the worker is full, which spreads tasks over workers of
-// like speed. Each entry prefers other workers among equals, so that entries
-// rarely want the same room.
+// like speed. Workers of the entry's own availability zone come first among
+// equals: what crosses zones takes longer and costs. Beyond that each entry
+// prefers other workers, so that entries rarely want the same room.
 func (s *State) cost(t *task, w *worker, run time.Duration) float64 {
 	used := 1 - float64(w.available().MilliCPU)/max(float64(w.state.Capacity.MilliCPU), 1)
-	return float64(run) / (1 - min(float64(w.failShare), 0.95)) * (1 + similarCost*used + preferenceWeight*w.preference)
+	weight := 1 + similarCost*used + preferenceWeight*w.preference
+	if w.state.Zone != s.o.Zone {
+		weight += zoneWeight
+	}
+	return float64(run) / (1 - min(float64(w.failShare), 0.95)) * weight
 }
 
 // preference returns a number from 0 to 1 that differs between entries and
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -85,6 +85,8 @@
 	LossWait time.Duration
 	// RackSlowdown is how many times as long a task takes away from its data.
 	RackSlowdown float64
+	// Zone is the availability zone of the entry.
+	Zone string
 	// Seed differs between entries.
 	Seed uint64
 	// Started is when the entry started.
@@ -114,6 +116,10 @@
 	// preferenceWeight is the largest difference that an entry's own preference
 	// makes between workers; below the noise of learnt speeds.
 	preferenceWeight = 0.06
+	// zoneWeight is by how much a worker in another availability zone ranks behind
+	// an equal one: below similarCost, so that a worker next door that is nearly
+	// full doesn't come before an idle one farther away.
+	zoneWeight = 0.08
 	// scarceShare is the free share of the capacity below which tasks that bear
 	// it go to slow workers, to leave fast ones to tasks that don't.
 	scarceShare = 0.35
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -57,6 +57,7 @@
 // Options configure a Dispatcher.
 type Options struct {
 	Name        string
+	Zone        string
 	Incarnation uint64
 	Timings     timing.Timings
 	// RackSlowdown is how many times as long a task takes away from its data.
@@ -108,7 +109,7 @@
 	return &Dispatcher{
 		o: o, events: make(chan func(time.Duration), eventRing), ended: make(chan struct{}),
 		state: dispatch.New(dispatch.Options{
-			LossWait: o.Timings.LossWait, RackSlowdown: o.RackSlowdown, Seed: o.Incarnation, Started: clock.Now(), MaxWaitingJobs: maxWaitingJobs,
+			LossWait: o.Timings.LossWait, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, Started: clock.Now(), MaxWaitingJobs: maxWaitingJobs,
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		known:   knowledge{members: map[string]directory.Member{}},
--- a/host/entry.go
+++ b/host/entry.go
@@ -17,7 +17,7 @@
 	s := p.settings
 	var callers *http.Server
 	d := dispatchd.New(dispatchd.Options{
-		Name: s.Name, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
+		Name: s.Name, Zone: s.Zone, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
 		GracePeriod: s.GracePeriod, CloseIdle: func() { callers.SetKeepAlivesEnabled(false) },
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -362,6 +362,59 @@
 	b.Assert(b.s.Runs(), qt.Equals, 0)
 }
 
+// Load pattern: a steady load from many entries. Guards against reports that grow
+// with the number of entries.
+func TestReportsDontGrowWithTheNumberOfEntries(t *testing.T) {
+	reports := func(entries int) (n int) {
+		b := newBedWithEntries(t, entries)
+		for i, end := 0, b.now+time.Second; b.now < end; i++ {
+			// A task that takes a quarter of the capacity comes and goes.
+			b.order(1, &link.Orders{Starts: []link.Start{quarter(i)}})
+			for range 2 {
+				b.now += 20 * ms
+				b.s.Tick(b.now)
+				b.take()
+				delete(b.rep, 1)
+				n += len(b.rep)
+				b.s.loseAll(b.now, link.Done)
+			}
+		}
+		return n
+	}
+	few, many := reports(4), reports(40)
+	qt.Assert(t, few > 0 && many <= 2*few, qt.IsTrue, qt.Commentf("%d reports to 3 entries, %d to 39", few, many))
+}
+
+// Guards against tasks that wait although a worker has room again, among many
+// entries.
+func TestEntryThatWaitsHearsOfRoomAtOnce(t *testing.T) {
+	b := newBedWithEntries(t, 40)
+	for i := range 4 {
+		b.order(1, &link.Orders{Starts: []link.Start{quarter(i)}})
+	}
+	b.order(2, &link.Orders{Waiting: true})
+	b.Assert(b.rep[2].Free.MilliCPU, qt.Equals, int64(0))
+	b.s.loseAll(b.now, link.Done)
+	b.now += pushInterval
+	b.take()
+	b.Assert(b.rep[2], qt.IsNotNil)
+	b.Assert(b.rep[3], qt.IsNil)
+}
+
+func newBedWithEntries(t *testing.T, entries int) *bed {
+	b := newReadyBed(t)
+	for p := Peer(2); p <= Peer(entries); p++ {
+		b.s.EntryUp(b.now, p, link.Hello{Entry: fmt.Sprint("e", p)})
+	}
+	b.take()
+	return b
+}
+
+// quarter is a task that takes a quarter of the worker's capacity.
+func quarter(index int) link.Start {
+	return link.Start{Task: task("j", index), Attempt: 1, Need: link.Resources{MilliCPU: 8000}, EstimateMS: 10}
+}
+
 func TestDrainingWorkerTakesNoStarts(t *testing.T) {
 	b := newReadyBed(t)
 	b.s.Announced(b.now, announcement(7, true))
--- a/runner/state.go
+++ b/runner/state.go
@@ -341,6 +341,7 @@
 	if s.worker != nil {
 		capacity = float64(max(s.worker.Capacity.MilliCPU, 1))
 	}
+	unasked := max(pushInterval, time.Duration(len(s.peers))*pushSpacing)
 	for _, p := range s.peers {
 		worker := s.worker != nil && s.worker.ID != p.pushedWorker
 		if worker || accepting != p.pushedAccepting {
@@ -350,9 +351,14 @@
 		if now-p.pushedAt < pushInterval {
 			continue
 		}
+		if p.waiting && free.MilliCPU > p.pushedFree.MilliCPU {
+			p.due = true
+		}
+		if now-p.pushedAt < unasked {
+			continue
+		}
 		change := math.Abs(float64(free.MilliCPU-p.pushedFree.MilliCPU)) / capacity
-		gained := p.waiting && free.MilliCPU > p.pushedFree.MilliCPU
-		if gained || change >= pushShare || math.Abs(speed-p.pushedSpeed) > pushShare*p.pushedSpeed {
+		if change >= pushShare || math.Abs(speed-p.pushedSpeed) > pushShare*p.pushedSpeed {
 			p.due = true
 		}
 	}
--- a/runner/types.go
+++ b/runner/types.go
@@ -197,8 +197,12 @@
 	stopRetry     = 60 * time.Millisecond
 	lostStopRetry = 250 * time.Millisecond
 	// pushInterval bounds how often an entry is told of changes that it didn't
-	// ask for, and pushShare how much of the capacity must have changed.
+	// ask for, and pushShare how much of the capacity must have changed. Entries
+	// whose tasks don't wait for room hear less often the more entries there are:
+	// pushSpacing apart on average, so that what an agent sends doesn't grow with
+	// their number.
 	pushInterval = 40 * time.Millisecond
+	pushSpacing  = 10 * time.Millisecond
 	pushShare    = 0.15
 	// progressInterval is the time between two reports on the progress of a task.
 	progressInterval = 90 * time.Millisecond
