Keep a little room for urgent jobs, and expect only the wait before them

Jobs of the queue that the operator puts first have a slack of about 90 ms, less than an ordinary task runs: they found the room taken. And the wait expected for them counted ordinary jobs that are served after them, so that 7% of them were refused on arrival.

Change: ordinary jobs that haven't started leave 5% of the capacity free while urgent jobs come; late ones leave 7% more. The expected wait counts what is served before the job. Refusals log the expected wait, the time that is left and the free share; answers log the free share.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -274,8 +274,75 @@
 	b.Assert(refused >= 45 && refused < 60, qt.IsTrue, qt.Commentf("%d refused", refused))
 }
 
-// Load pattern: the queue is long, and a worker with free room refuses what it
-// is offered. It isn't asked again and again.
+// confirm has an agent say that tasks run, which leaves it so much room.
+func (b *bed) confirm(worker string, room int, starts []link.Start) {
+	r := &link.Report{}
+	for _, s := range starts {
+		r.Answers = append(r.Answers, started(s))
+	}
+	b.report(worker, room, 1, r)
+}
+
+// urgentJob is a short job of a queue that comes first.
+func (b *bed) urgentJob(id string, tasks int) Job {
+	j := b.job(id, tasks, 50*ms)
+	j.Queue = "first"
+	return j
+}
+
+// ordinaryJob is a job of a queue that doesn't.
+func (b *bed) ordinaryJob(id string, tasks int) Job {
+	j := b.job(id, tasks, 170*ms)
+	j.Priority = 1
+	return j
+}
+
+// Load pattern: a crest in which more work arrives than the workers do, some of
+// it of the queue that the operator puts first. Guards against urgent jobs that
+// wait for room which ordinary ones have just taken: their slack is a fraction of
+// an ordinary task's run time.
+func TestRoomIsLeftToUrgentJobsInACrest(t *testing.T) {
+	b := newBed(t)
+	b.worker("w1", 40, 1)
+	b.accept(b.urgentJob("u0", 1))
+	for i := range 13 {
+		b.accept(b.ordinaryJob(fmt.Sprint("o", i), 3))
+	}
+	running := b.starts()["w1"]
+	b.Assert(running, qt.HasLen, 40)
+	b.confirm("w1", 0, running)
+	b.accept(b.ordinaryJob("waits", 1))
+	b.now += 20 * ms
+	b.report("w1", 1, 1, &link.Report{Ends: []link.End{ended(running[1], link.Done)}})
+	b.Assert(b.starts()["w1"], qt.HasLen, 0, qt.Commentf("an ordinary job took the last room"))
+	b.accept(b.urgentJob("u1", 1))
+	starts := b.starts()["w1"]
+	b.Assert(starts, qt.HasLen, 1)
+	b.Assert(starts[0].Task.Job, qt.Equals, "u1")
+	b.confirm("w1", 0, starts)
+	// Without urgent jobs nothing is kept.
+	b.now += urgentMemory
+	b.accept(b.ordinaryJob("later", 1))
+	b.report("w1", 1, 1, &link.Report{Ends: []link.End{ended(starts[0], link.Done)}})
+	b.Assert(b.starts()["w1"], qt.HasLen, 1)
+}
+
+// Load pattern: a queue of ordinary jobs when an urgent one arrives. Guards
+// against a refusal because of work that would be served after it.
+func TestUrgentJobIsntRefusedForWorkBehindIt(t *testing.T) {
+	b := newBed(t)
+	b.worker("w1", 10, 1)
+	ordinary := 0
+	for b.s.Submit(b.now, b.ordinaryJob(fmt.Sprint("o", ordinary), 1)) == nil {
+		ordinary++
+		b.Assert(ordinary < 100, qt.IsTrue)
+	}
+	b.Assert(ordinary > 10, qt.IsTrue, qt.Commentf("only %d ordinary jobs were accepted", ordinary))
+	u := b.ordinaryJob("u", 1)
+	u.Priority = mostUrgent
+	b.accept(u)
+}
+
 // Load pattern: an ordinary load on workers of like speed in several zones.
 // Guards against traffic between zones while the own one has room, and against
 // an own zone that is filled while others are idle.
@@ -303,6 +370,8 @@
 	b.Assert(b.starts()["f3"], qt.HasLen, 1)
 }
 
+// Load pattern: the queue is long, and a worker with free room refuses what it
+// is offered. It isn't asked again and again.
 func TestRefusingWorkerIsLeftAlone(t *testing.T) {
 	b := newBed(t)
 	b.worker("w1", 8, 1)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -45,16 +45,17 @@
 	return v
 }
 
-// expectedWait is how long the work before j takes at the present rate; 0 while
-// nothing runs.
+// expectedWait is how long the work that is served before j takes at the present
+// rate; 0 while nothing runs.
 func (s *State) expectedWait(now time.Duration, j *job) time.Duration {
 	rate := s.rate(j.Service)
 	if rate <= 0 {
 		return 0
 	}
-	ahead := 0.0
+	ahead, own := 0.0, s.standing(now, j)
 	for _, w := range s.waiting {
-		if w.Service != j.Service || w.startBy > j.startBy || s.standing(now, w) == late {
+		at := s.standing(now, w)
+		if w.Service != j.Service || at == late || at > own || at == own && w.startBy > j.startBy {
 			continue
 		}
 		for _, t := range w.tasks {
@@ -163,7 +164,7 @@
 	for at, group := range groups {
 		misses := 0
 		for _, j := range group {
-			if standing(at) == late && s.freeShare(j.Service) < spareShare {
+			if s.freeShare(j.Service) < s.keptFree(now, j, standing(at)) {
 				continue
 			}
 			if s.placeReady(now, j) {
@@ -176,9 +177,31 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(j *job) bool { return !j.hasReady() })
 }
 
+// keptFree is the share of the capacity that a job leaves free: to jobs of the
+// queues that come first, whose slack is too short to wait for room, and to jobs
+// that can still be on time.
+func (s *State) keptFree(now time.Duration, j *job, at standing) float64 {
+	switch {
+	case at == urgent, j.ran:
+		return 0
+	case at == late:
+		return s.reserve(now, j.Service) + spareShare
+	}
+	return s.reserve(now, j.Service)
+}
+
+// reserve is the share of the capacity that is kept free for urgent jobs, while
+// there are any.
+func (s *State) reserve(now time.Duration, service string) float64 {
+	if at, ok := s.urgentAt[service]; ok && now-at < urgentMemory {
+		return reserveShare
+	}
+	return 0
+}
+
 // crowded reports whether jobs wait for room that can still be on time.
 func (s *State) crowded(now time.Duration, service string) bool {
-	if now-s.o.Started < warmUp || s.freeShare(service) >= spareShare {
+	if now-s.o.Started < warmUp || s.freeShare(service) >= s.reserve(now, service)+spareShare {
 		return false
 	}
 	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.Service == service && s.standing(now, j) != late })
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -101,7 +101,9 @@
 	// byName holds the workers in order of their names.
 	byName []*worker
 	// waiting holds the jobs with ready tasks, in order of startBy.
-	waiting  []*job
+	waiting []*job
+	// urgentAt is when each service last got a job of a queue that comes first.
+	urgentAt map[string]time.Duration
 	finished map[string]finished
 	oldest   []string
 	orders   map[string]*Order
@@ -117,7 +119,7 @@
 func New(o Options) *State {
 	return &State{
 		o: o, jobs: map[string]*job{}, workers: map[string]*worker{},
-		finished: map[string]finished{}, orders: map[string]*Order{},
+		urgentAt: map[string]time.Duration{}, finished: map[string]finished{}, orders: map[string]*Order{},
 	}
 }
 
@@ -175,9 +177,14 @@
 		return nil
 	}
 	j := newJob(sub)
+	if j.Priority == mostUrgent {
+		s.urgentAt[j.Service] = now
+	}
 	if v := s.admit(now, j); v != nil {
 		s.log(decisions.Info("job refused", "job", j.ID, "queue", j.Queue, "reason", v.Message,
-			"waiting_jobs", len(s.waiting), "retry_after_ms", v.RetryAfter.Milliseconds()))
+			"waiting_jobs", len(s.waiting), "retry_after_ms", v.RetryAfter.Milliseconds(),
+			"expected_wait_ms", s.expectedWait(now, j).Milliseconds(), "quickest_ms", s.quickest(j).Milliseconds(),
+			"on_time_ms", (j.objective - now).Milliseconds(), "free_share", s.freeShare(j.Service)))
 		return v
 	}
 	s.jobs[j.ID] = j
@@ -299,7 +306,8 @@
 	s.out.Answers = append(s.out.Answers, Answer{Job: j.ID, Verdict: v})
 	s.log(decisions.Info("job answered", "job", j.ID, "queue", j.Queue, "outcome", string(v.Outcome), "reason", string(v.Reason),
 		"ran", string(v.Ran), "message", v.Message, "took_ms", (now - j.Arrived).Milliseconds(),
-		"on_time_ms", (j.objective - j.Arrived).Milliseconds(), "tasks", j.timeline()))
+		"on_time_ms", (j.objective - j.Arrived).Milliseconds(), "waiting_jobs", len(s.waiting),
+		"free_share", s.freeShare(j.Service), "tasks", j.timeline()))
 }
 
 // timeline describes each task for the log.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -137,6 +137,12 @@
 	// started. Below it they would take the room of jobs that arrive within their
 	// run time and can be on time.
 	spareShare = 0.07
+	// reserveShare is the free share of the capacity that is left to urgent jobs:
+	// one task of the urgent queue in ten of a worker's room.
+	reserveShare = 0.05
+	// urgentMemory is how long after the last urgent job room is kept for others:
+	// many times the time between two of them under load.
+	urgentMemory = 2 * time.Second
 	// warmUp is how long after its start an entry refuses no job for want of room:
 	// agents that restarted at the same time are about to have some.
 	warmUp = time.Second
