Go through waiting jobs once a batch; leave rotation when too slow for the load

Each report of an agent went through all waiting jobs, and for each through all workers; pings were answered right after reports that said the same.

Change: waiting jobs are gone through once for each batch of events, the highest speed and the free share are kept until something changes. An agent doesn't answer a ping within 60 ms of a report.

Ruled out: detection by a fixed weight a tick (too slow, ticks are rare when the loop is late).

--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sesamelift/sesamelift/link"
+)
+
+// Load pattern: a crest at 890 workers that are all busy, while 200 jobs wait and
+// reports come in.
+func BenchmarkReportWhileJobsWait(b *testing.B) {
+	s := New(Options{LossWait: time.Second, RackSlowdown: 1.5, MaxWaitingJobs: 1000})
+	now := time.Hour
+	names := make([]string, 890)
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+		s.Connected(now, names[i])
+		s.Reported(now, names[i], &link.Report{
+			Accepting: true, Speed: 1, Worker: &link.WorkerState{ID: names[i], Service: "service", Capacity: link.Resources{MilliCPU: 32000, MemoryMB: 1 << 20}},
+		})
+	}
+	for i := range 200 {
+		s.Submit(now, Job{
+			ID: fmt.Sprint("j", i), Queue: "q", Service: "service", Arrived: now, Deadline: now + time.Hour, Stretch: 100, Priority: i % 3,
+			Steps: []Step{{Tasks: 4, Need: fourCores, Estimate: 100 * time.Millisecond}},
+		})
+	}
+	s.Take(now)
+	for i := 0; b.Loop(); i++ {
+		s.Reported(now, names[i%len(names)], &link.Report{Accepting: true, Speed: 1})
+		if i%16 == 0 {
+			s.Take(now)
+		}
+	}
+}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -23,6 +23,7 @@
 		slices.SortFunc(s.byName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 	}
 	w.connected, w.reported = true, false
+	s.workersChanged()
 	w.unanswered = link.Resources{}
 	for _, t := range w.tasks {
 		if t.phase == lost {
@@ -43,6 +44,7 @@
 		return
 	}
 	w.connected = false
+	s.workersChanged()
 	w.unanswered = link.Resources{}
 	for id, t := range w.tasks {
 		switch t.phase {
@@ -89,7 +91,13 @@
 	for i := range r.Progress {
 		s.progressed(now, w, &r.Progress[i])
 	}
-	s.dispatch(now)
+	s.workersChanged()
+}
+
+// workersChanged takes note that room or speeds may be other ones.
+func (s *State) workersChanged() {
+	clear(s.fastest)
+	s.changed = true
 }
 
 // current returns the task of an attempt, if it is the one in progress on w.
@@ -256,7 +264,7 @@
 	for _, j := range s.jobs {
 		s.tickJob(now, j)
 	}
-	s.dispatch(now)
+	s.changed = true
 }
 
 func (s *State) tickJob(now time.Duration, j *job) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -94,6 +94,9 @@
 
 // bestSpeed is the speed of the fastest worker of a service.
 func (s *State) bestSpeed(service string) float64 {
+	if known, ok := s.fastest[service]; ok {
+		return known
+	}
 	best := 0.0
 	for _, w := range s.byName {
 		if w.usable(service) {
@@ -101,8 +104,9 @@
 		}
 	}
 	if best == 0 {
-		return unknownSpeed
+		best = unknownSpeed
 	}
+	s.fastest[service] = best
 	return best
 }
 
@@ -161,14 +165,21 @@
 		at := s.standing(now, j)
 		groups[at] = append(groups[at], j)
 	}
+	free := map[string]float64{}
 	for at, group := range groups {
 		misses := 0
 		for _, j := range group {
-			if s.freeShare(j.Service) < s.keptFree(now, j, standing(at)) {
+			share, known := free[j.Service]
+			if !known {
+				share = s.freeShare(j.Service)
+				free[j.Service] = share
+			}
+			if share < s.keptFree(now, j, standing(at)) {
 				continue
 			}
 			if s.placeReady(now, j) {
 				misses = 0
+				delete(free, j.Service)
 			} else if misses++; misses >= maxMisses {
 				break
 			}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -108,6 +108,11 @@
 	oldest   []string
 	orders   map[string]*Order
 	out      Actions
+	// changed says that waiting tasks may have room now.
+	changed bool
+	// fastest is the highest speed of a service's workers, as far as it was looked
+	// for since the last change.
+	fastest map[string]float64
 }
 
 type finished struct {
@@ -119,12 +124,18 @@
 func New(o Options) *State {
 	return &State{
 		o: o, jobs: map[string]*job{}, workers: map[string]*worker{},
-		urgentAt: map[string]time.Duration{}, finished: map[string]finished{}, orders: map[string]*Order{},
+		urgentAt: map[string]time.Duration{}, fastest: map[string]float64{}, finished: map[string]finished{}, orders: map[string]*Order{},
 	}
 }
 
-// Take returns the actions since the last call.
-func (s *State) Take() Actions {
+// Take starts what there is room for since the last call, and returns the
+// actions. Reports come in batches, so that the waiting jobs are gone through
+// once for each batch.
+func (s *State) Take(now time.Duration) Actions {
+	if s.changed {
+		s.changed = false
+		s.dispatch(now)
+	}
 	out := s.out
 	for _, o := range s.orders {
 		out.Orders = append(out.Orders, *o)
@@ -364,7 +375,7 @@
 		return false
 	}
 	s.finish(now, j, api.Fail(j.mayHave(), api.ReasonCancelled, why))
-	s.dispatch(now)
+	s.changed = true
 	return true
 }
 
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -91,6 +91,10 @@
 
 	draining atomic.Bool
 	refusing atomic.Bool
+	// overloaded keeps the entry out of rotation, closing has connections closed
+	// after their answer; both follow lag.
+	overloaded atomic.Bool
+	closing    atomic.Bool
 	// submissions counts the calls of Submit in progress.
 	submissions atomic.Int64
 
@@ -102,6 +106,7 @@
 	agents  map[string]*agent
 	waiters map[string][]chan *api.Verdict
 	last    time.Duration
+	lag     lagMeter
 }
 
 // New returns a dispatcher. Run starts it.
@@ -121,10 +126,12 @@
 func (d *Dispatcher) Routes() *routes.Holder { return &d.routes }
 
 // Ready says whether the entry takes new connections.
-func (d *Dispatcher) Ready() bool { return !d.draining.Load() && d.routes.Current() != nil }
+func (d *Dispatcher) Ready() bool {
+	return !d.draining.Load() && !d.overloaded.Load() && d.routes.Current() != nil
+}
 
-// Draining says whether connections are to be closed after their answer.
-func (d *Dispatcher) Draining() bool { return d.draining.Load() }
+// Closing says whether connections are to be closed after their answer.
+func (d *Dispatcher) Closing() bool { return d.draining.Load() || d.closing.Load() }
 
 // Run runs the core loop and its helpers until ctx ends, and then drains: jobs in
 // progress are completed, as far as the grace period allows.
@@ -196,6 +203,7 @@
 			}
 		case <-ticker.C:
 			now := d.wake()
+			d.watchLag(now)
 			d.pingAgents(now)
 			d.state.Tick(now)
 		}
@@ -213,6 +221,19 @@
 	return now
 }
 
+// watchLag leaves rotation while the core loop runs late, and returns to it.
+func (d *Dispatcher) watchLag(now time.Duration) {
+	if d.lag.tick(now, tickInterval) {
+		line := decisions.Info("back in rotation", "lag_ms", d.lag.mean.Milliseconds())
+		if d.lag.overloaded() {
+			line = decisions.Warn("too slow for the load, leaving rotation", "lag_ms", d.lag.mean.Milliseconds(), "jobs", d.submissions.Load())
+		}
+		d.o.Log.Add(line)
+		d.overloaded.Store(d.lag.overloaded())
+	}
+	d.closing.Store(d.lag.closing(now))
+}
+
 // end answers what is left when the process ends.
 func (d *Dispatcher) end() {
 	for id := range d.waiters {
@@ -226,8 +247,8 @@
 
 // perform carries out the actions of the state.
 func (d *Dispatcher) perform() {
-	out := d.state.Take()
 	now := clock.Now()
+	out := d.state.Take(now)
 	for i := range out.Orders {
 		o := &out.Orders[i]
 		if a := d.agents[o.Worker]; a != nil {
--- a/host/entry.go
+++ b/host/entry.go
@@ -24,7 +24,7 @@
 		Log: p.log, Metrics: p.metrics,
 	})
 	var err error
-	callers, err = p.addServer("callers", s.CallerAddress, closeWhileDraining(d, platform.FrontHandler(d)))
+	callers, err = p.addServer("callers", s.CallerAddress, closeAfterAnswer(d, platform.FrontHandler(d)))
 	if err != nil {
 		return err
 	}
@@ -38,11 +38,11 @@
 	return nil
 }
 
-// closeWhileDraining has connections closed after their answer once the entry is
-// ending. Idle ones stay open until the end: closing them could cross a request.
-func closeWhileDraining(d *dispatchd.Dispatcher, h http.Handler) http.Handler {
+// closeAfterAnswer has connections closed after their answer once the entry is
+// ending or too slow for its load. Idle ones stay open until the end: closing them could cross a request.
+func closeAfterAnswer(d *dispatchd.Dispatcher, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.Draining() {
+		if d.Closing() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -51,7 +51,11 @@
 	if p == nil {
 		return
 	}
-	p.heardAt, p.sequence, p.waiting, p.due = now, o.Sequence, o.Waiting, true
+	p.heardAt, p.sequence, p.waiting = now, o.Sequence, o.Waiting
+	// A ping that follows a report closely needs no answer: the entry has just
+	// heard from this agent.
+	empty := len(o.Claims)+len(o.Stops)+len(o.Starts) == 0
+	p.due = p.due || !empty || now-p.pushedAt >= recentReport
 	for i := range o.Claims {
 		s.claim(now, id, p, &o.Claims[i])
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -385,6 +385,20 @@
 	qt.Assert(t, few > 0 && many <= 2*few, qt.IsTrue, qt.Commentf("%d reports to 3 entries, %d to 39", few, many))
 }
 
+// Guards against two messages where one shows that the agent lives, and against a
+// ping without any answer.
+func TestPingAfterAReportIsNotAnswered(t *testing.T) {
+	b := newReadyBed(t)
+	b.order(1, &link.Orders{Starts: []link.Start{start("j", 0)}})
+	b.Assert(b.rep[1], qt.IsNotNil)
+	b.now += recentReport - ms
+	b.order(1, &link.Orders{})
+	b.Assert(b.rep[1], qt.IsNil)
+	b.now += ms
+	b.order(1, &link.Orders{})
+	b.Assert(b.rep[1], qt.IsNotNil)
+}
+
 // Guards against tasks that wait although a worker has room again, among many
 // entries.
 func TestEntryThatWaitsHearsOfRoomAtOnce(t *testing.T) {
@@ -392,6 +406,7 @@
 	for i := range 4 {
 		b.order(1, &link.Orders{Starts: []link.Start{quarter(i)}})
 	}
+	b.now += recentReport
 	b.order(2, &link.Orders{Waiting: true})
 	b.Assert(b.rep[2].Free.MilliCPU, qt.Equals, int64(0))
 	b.s.loseAll(b.now, link.Done)
--- a/runner/types.go
+++ b/runner/types.go
@@ -204,6 +204,10 @@
 	pushInterval = 40 * time.Millisecond
 	pushSpacing  = 10 * time.Millisecond
 	pushShare    = 0.15
+	// recentReport is the age up to which a report answers a ping: half of the
+	// time between two pings, an eighth of the silence after which an entry gives
+	// the agent up.
+	recentReport = 60 * time.Millisecond
 	// progressInterval is the time between two reports on the progress of a task.
 	progressInterval = 90 * time.Millisecond
 	// endsKept is how long ends are kept for entries that connect again.
