Renew in short steps while a worker leaves calls unanswered

Change: while calls go unanswered, up to three renewals follow each other 20 ms apart and don't wait for an end; a lost one says nothing of the lease if a later one was answered. Orders are repeated after 20 ms, five times.

--- a/runner/entries.go
+++ b/runner/entries.go
@@ -136,6 +136,7 @@
 	s.extendLease(now)
 	s.out.Starts = append(s.out.Starts, StartCall{
 		Task: o.Task, Attempt: o.Attempt, Spec: o.Spec, LeaseUntil: s.leaseEnd(now), Life: s.worker.ID,
+		Patience: s.patience(now),
 	})
 }
 
@@ -157,7 +158,7 @@
 	if s.worker != nil {
 		life = s.worker.ID
 	}
-	s.out.Stops = append(s.out.Stops, StopCall{Task: r.task, Attempt: r.attempt, Life: life})
+	s.out.Stops = append(s.out.Stops, StopCall{Task: r.task, Attempt: r.attempt, Life: life, Patience: s.patience(now)})
 }
 
 // wake looks for a time in which the process didn't run. Entries have given the
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -283,22 +283,30 @@
 func TestRenewalsOfALossyWorker(t *testing.T) {
 	b := newReadyBed(t)
 	b.run(1, start("j", 0))
-	b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
+	b.s.RenewFailed(b.now, b.now, "no answer", RenewUnanswered)
 	b.take()
 	b.Assert(b.renew.LeaseUntil, qt.Equals, int64(0), qt.Commentf("the worker is asked whether it lives"))
 	b.listed(Running{Task: task("j", 0), Attempt: 1})
-	sent := 0
-	for range 4 {
+	// None of the next ones has an answer yet, and none waits for an end.
+	var sent []time.Duration
+	for end := b.now + 200*ms; b.now < end; b.now += 10 * ms {
 		b.renew = nil
 		b.take()
 		if b.renew != nil {
-			sent++
-			b.Assert(b.renew.Wait <= 50*ms, qt.IsTrue)
+			sent = append(sent, b.now)
+			b.Assert(b.renew.Wait, qt.Equals, time.Duration(0))
+			b.Assert(b.renew.LeaseUntil > 0, qt.IsTrue)
 		}
-		b.now += 10 * ms
 	}
-	b.Assert(sent, qt.Equals, 2)
-	b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
+	b.Assert(sent, qt.HasLen, lossyRenewals)
+	b.Assert(sent[2]-sent[0] <= 50*ms, qt.IsTrue, qt.Commentf("%v", sent))
+	// The last one is answered; that the first two were lost says nothing then.
+	b.s.Renewed(b.now, sent[2], &Lists{Clock: 5000 + b.now.Milliseconds(), Born: 7, Running: []Running{{Task: task("j", 0), Attempt: 1}}})
+	for _, at := range sent[:2] {
+		b.s.RenewFailed(b.now, at, "no answer", RenewUnanswered)
+	}
+	b.take()
+	b.Assert(b.renew.LeaseUntil > 0, qt.IsTrue)
 	b.order(1, &link.Orders{Starts: []link.Start{start("j", 1)}})
 	b.Assert(b.starts, qt.HasLen, 1)
 }
@@ -320,7 +328,7 @@
 		if b.renew != nil {
 			calls++
 			b.renew = nil
-			b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+			b.s.RenewFailed(b.now, b.now, "connection reset", RenewBroken)
 		}
 		if refusedAt == 0 && !b.s.accepting() {
 			refusedAt = b.now - down
@@ -341,13 +349,13 @@
 func TestResetOfAllConnectionsLeavesTheWorkerInUse(t *testing.T) {
 	b := newReadyBed(t)
 	for range maxBroken - 1 {
-		b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+		b.s.RenewFailed(b.now, b.now, "connection reset", RenewBroken)
 	}
 	b.Assert(b.s.accepting(), qt.IsTrue)
 	b.wait(25 * ms)
 	b.Assert(b.renew, qt.IsNotNil)
 	b.listed()
-	b.s.RenewFailed(b.now, "connection reset", RenewBroken)
+	b.s.RenewFailed(b.now, b.now, "connection reset", RenewBroken)
 	b.Assert(b.s.accepting(), qt.IsTrue)
 }
 
@@ -356,7 +364,7 @@
 	b.run(1, start("j", 0))
 	for range 40 {
 		b.order(1, &link.Orders{})
-		b.s.RenewFailed(b.now, "no answer", RenewUnanswered)
+		b.s.RenewFailed(b.now, b.now, "no answer", RenewUnanswered)
 		b.wait(25 * ms)
 	}
 	b.Assert(b.s.Runs(), qt.Equals, 0)
--- a/runner/state.go
+++ b/runner/state.go
@@ -114,14 +114,16 @@
 	seen        uint64
 	// leaseUntil is when, by our clock, the lease must have run out.
 	leaseUntil time.Duration
-	// answeredAt is when the worker last answered a renewal.
+	// answeredAt is when the worker last answered a renewal, heardAt when the last
+	// one that it answered was made.
 	answeredAt time.Duration
+	heardAt    time.Duration
 	reachable  bool
 	// renewing counts the renewals under way, failures those that failed since the
 	// last answer.
 	renewing int
 	failures int
-	// unanswered says that the last renewal had no answer, lossyUntil how long the
+	// unanswered says that the latest renewal had no answer, lossyUntil how long the
 	// worker counts as leaving calls unanswered.
 	unanswered bool
 	lossyUntil time.Duration
--- a/runner/types.go
+++ b/runner/types.go
@@ -90,13 +90,16 @@
 	LeaseUntil int64
 	// Life is the ID of the worker's life that is meant.
 	Life string
+	// Patience bounds the wait for the answer.
+	Patience time.Duration
 }
 
 // StopCall stops a run on the worker.
 type StopCall struct {
-	Task    link.TaskID
-	Attempt uint32
-	Life    string
+	Task     link.TaskID
+	Attempt  uint32
+	Life     string
+	Patience time.Duration
 }
 
 // RenewCall renews the lease of everything that runs, and asks for the lists.
@@ -164,11 +167,17 @@
 	// renewWait is how long a renewal waits for an end while something runs: a
 	// third of what it takes to see that a task stands still.
 	renewWait = 100 * time.Millisecond
-	// lossyWait is the same while the worker leaves calls unanswered; two renewals
-	// are then under way, lossyStagger apart, since an end is only heard of by one
-	// that is answered.
-	lossyWait    = 50 * time.Millisecond
-	lossyStagger = 25 * time.Millisecond
+	// lossyStagger is the time between two renewals while the worker leaves calls
+	// unanswered, and lossyRenewals how many may be under way: an end is only heard
+	// of by one that is answered, so that they don't wait for an end but follow
+	// each other closely.
+	lossyStagger  = 20 * time.Millisecond
+	lossyRenewals = 3
+	// orderPatience bounds a start or stop call; the worker is on the same host
+	// and answers within a few milliseconds. lossyPatience is the same while the
+	// worker leaves calls unanswered: an agent whose host is slow still takes less.
+	orderPatience = 50 * time.Millisecond
+	lossyPatience = 20 * time.Millisecond
 	// lossyMemory is how long a worker counts as leaving calls unanswered.
 	lossyMemory = 3 * time.Second
 	// unreachableAfter is how long a worker may answer nothing and still get
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -22,10 +22,13 @@
 	return now.Milliseconds() + s.clockOffset + s.o.Lease.Milliseconds()
 }
 
+// lossy says whether the worker leaves calls unanswered but is there.
+func (s *State) lossy(now time.Duration) bool { return now < s.lossyUntil && s.reachable }
+
 // maxRenewals is how many renewals may be under way.
 func (s *State) maxRenewals(now time.Duration) int {
-	if now < s.lossyUntil && len(s.runs) > 0 && !s.unanswered {
-		return 2
+	if s.lossy(now) && len(s.runs) > 0 {
+		return lossyRenewals
 	}
 	return 1
 }
@@ -33,8 +36,8 @@
 func (s *State) renew(now time.Duration) {
 	c := &RenewCall{Seen: s.seen, Wait: idleWait}
 	switch {
-	case len(s.runs) > 0 && now < s.lossyUntil:
-		c.Wait = lossyWait
+	case len(s.runs) > 0 && s.lossy(now):
+		c.Wait = 0
 	case len(s.runs) > 0:
 		c.Wait = renewWait
 	}
@@ -51,6 +54,14 @@
 	s.out.Renew = c
 }
 
+// patience bounds the wait for the answer to an order.
+func (s *State) patience(now time.Duration) time.Duration {
+	if s.lossy(now) {
+		return lossyPatience
+	}
+	return orderPatience
+}
+
 func (s *State) sawClock(now time.Duration, clock int64) {
 	if clock > 0 {
 		s.clockOffset, s.clockKnown = clock-now.Milliseconds(), true
@@ -114,10 +125,12 @@
 	}
 }
 
-// RenewFailed takes note that a renewal had no answer.
-func (s *State) RenewFailed(now time.Duration, why string, fault RenewFault) {
+// RenewFailed takes note that a renewal, which was made at sentAt, had no answer.
+func (s *State) RenewFailed(now, sentAt time.Duration, why string, fault RenewFault) {
 	s.wake(now)
-	s.renewing, s.unanswered = s.renewing-1, true
+	s.renewing--
+	// One that was made later may have had an answer.
+	s.unanswered = s.unanswered || sentAt >= s.heardAt
 	s.lossyUntil = now + lossyMemory
 	s.failures++
 	broken := fault == RenewBroken && s.failures >= maxBroken
@@ -152,8 +165,10 @@
 // Renewed takes the worker's lists, which were asked for at sentAt.
 func (s *State) Renewed(now, sentAt time.Duration, l *Lists) {
 	s.wake(now)
-	s.renewing, s.unanswered = s.renewing-1, false
-	if s.renewing == 0 {
+	s.renewing--
+	s.heardAt = max(s.heardAt, sentAt)
+	s.unanswered = false
+	if s.renewing == 0 && !s.lossy(now) {
 		s.renewAt = now
 	}
 	if l.Born != s.born {
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -35,12 +35,12 @@
 	maxBatch = 64
 	// orderTries bounds the calls for one start or stop. Both may be repeated: the
 	// worker knows a run by its attempt.
-	orderTries = 3
+	orderTries = 5
 	// orderInterval is the shortest time between two calls for one order: a worker
 	// that closes its connections leaves each call unanswered at once.
 	orderInterval = 20 * time.Millisecond
 	// renewers is how many renewals may be under way.
-	renewers = 2
+	renewers = 3
 	// callers is how many calls to the worker are made at once; an unanswered one
 	// takes its caller for the whole time-out.
 	callers = 8
@@ -256,7 +256,7 @@
 			a.post(func(now time.Duration) {
 				if err != nil {
 					a.metrics.renewFailures.Inc(1)
-					a.state.RenewFailed(now, err.Error(), renewFault(err))
+					a.state.RenewFailed(now, sentAt, err.Error(), renewFault(err))
 					return
 				}
 				a.state.Renewed(now, sentAt, lists)
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -22,6 +23,8 @@
 
 func (*answers) Renew(context.Context, runner.RenewCall) (*runner.Lists, error) { return nil, nil }
 
+func repeated(r runner.StartResult, n int) answers { return slices.Repeat(answers{r}, n) }
+
 // Guards against a task that is started again although its first start, whose
 // answer was lost, ran and ended before the repetition.
 func TestRejectedRepetitionLeavesTheStartInDoubt(t *testing.T) {
@@ -34,8 +37,8 @@
 		{answers{runner.StartOutdated, runner.StartOK}, runner.StartOutdated, 1},
 		{answers{runner.StartNoRoom, runner.StartOK}, runner.StartNoRoom, 1},
 		{answers{runner.StartUnanswered, runner.StartOK, runner.StartOK}, runner.StartOK, 1},
-		{answers{runner.StartUnanswered, runner.StartOutdated, runner.StartOutdated}, runner.StartUnanswered, 0},
-		{answers{runner.StartUnanswered, runner.StartUnanswered, runner.StartUnanswered}, runner.StartUnanswered, 0},
+		{append(answers{runner.StartUnanswered}, repeated(runner.StartOutdated, orderTries-1)...), runner.StartUnanswered, 0},
+		{repeated(runner.StartUnanswered, orderTries), runner.StartUnanswered, 0},
 	} {
 		list := append(answers{}, tc.answers...)
 		got, _ := startRepeated(context.Background(), &list, runner.StartCall{})
