Keep a lossy worker in use when all connections are reset

Found by reading.

Change: one more than may be under way. Comments: the source of the room kept for urgent jobs.

Ruled out: counting connections instead of renewals (the transport hides which connection a call takes).

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -138,7 +138,7 @@
 	// run time and can be on time.
 	spareShare = 0.07
 	// reserveShare is the free share of the capacity that is left to urgent jobs:
-	// one task of the urgent queue in ten of a worker's room.
+	// one task in two workers of 32 cores, of which every entry sees all.
 	reserveShare = 0.05
 	// urgentMemory is how long after the last urgent job room is kept for others:
 	// many times the time between two of them under load.
--- a/host/entry.go
+++ b/host/entry.go
@@ -39,7 +39,8 @@
 }
 
 // closeAfterAnswer has connections closed after their answer once the entry is
-// ending or too slow for its load. Idle ones stay open until the end: closing them could cross a request.
+// ending or too slow for its load. Idle ones stay open until the end: closing
+// them could cross a request.
 func closeAfterAnswer(d *dispatchd.Dispatcher, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.Closing() {
--- a/runner/types.go
+++ b/runner/types.go
@@ -184,9 +184,9 @@
 	// starts.
 	unreachableAfter = 300 * time.Millisecond
 	// maxBroken is how many renewals in a row may end with a broken connection and
-	// the worker still get starts: a reset of all connections breaks the two that
-	// may be under way.
-	maxBroken = 3
+	// the worker still get starts: a reset of all connections breaks those that are
+	// under way.
+	maxBroken = lossyRenewals + 1
 	// brokenPause is the pause after the second of them.
 	brokenPause = 20 * time.Millisecond
 	// minLostPause and maxLostPause bound the pause between two renewals of a
