--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -117,8 +117,8 @@
 	// makes between workers; below the noise of learnt speeds.
 	preferenceWeight = 0.06
 	// zoneWeight is by how much a worker in another availability zone ranks behind
-	// an equal one: below similarCost, so that a worker next door that is nearly
-	// full doesn't come before an idle one farther away.
+	// an equal one: below similarCost, so that a nearly full worker of the own zone
+	// doesn't come before an idle one of another.
 	zoneWeight = 0.08
 	// scarceShare is the free share of the capacity below which tasks that bear
 	// it go to slow workers, to leave fast ones to tasks that don't.
