--- a/entry/roster.go
+++ b/entry/roster.go
@@ -215,17 +215,20 @@
 	}
 	written, err := e.writeRoster(ctx, op, func(r *ownership.Roster, _ string) *ownership.Roster {
 		if r == nil || r.Version+1 != n.Version {
-			// Another entry was faster. The next poll reads what is there; the
-			// confirmation is made again if it is missing.
-			return nil
+			return nil // another entry was faster
 		}
 		return n
 	})
 	var doubt *table.DoubtError
-	if errors.As(err, &doubt) || err == nil && (written == nil || written.Op != op) {
+	switch {
+	// In both cases the next poll reads what is there, and the confirmation is
+	// made again if it is missing.
+	case errors.As(err, &doubt):
+		e.log.WithError(err).Info("confirmation of the roster may be written, reading it again")
 		return nil
-	}
-	if err == nil {
+	case err == nil && (written == nil || written.Op != op):
+		return nil
+	case err == nil:
 		e.post(ctx, func(c *core) { c.adopt(n) })
 	}
 	return errors.Wrap(err, "confirm the roster")
