--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -27,6 +27,7 @@
 var scenes = map[string]func(d *deployment, trouble bool){
 	"foreign-heartbeat": foreignHeartbeat,
 	"fast-restart":      fastRestart,
+	"double-crash":      doubleCrash,
 	"early-reset":       earlyReset,
 }
 
