--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -26,6 +26,7 @@
 // takes place.
 var scenes = map[string]func(d *deployment, trouble bool){
 	"foreign-heartbeat": foreignHeartbeat,
+	"new-kind":          newKind,
 	"fast-restart":      fastRestart,
 	"double-crash":      doubleCrash,
 	"early-reset":       earlyReset,
