--- a/review/scene/early_reset.go
+++ b/review/scene/early_reset.go
@@ -14,9 +14,9 @@
 	const (
 		rounds  = 5
 		callers = 24
-		tasks   = 100
+		tasks   = 32
 		// milliCPU lets all tasks of a round run at the same time.
-		milliCPU = 60
+		milliCPU = 250
 		workMS   = 2500
 		// resendTime is how long after a broken connection a caller sends its job again.
 		resendTime = 1300 * time.Millisecond
@@ -31,7 +31,7 @@
 		for c := range callers {
 			wg.Go(func() {
 				path := queue + d.jobID()
-				body := jobBody(workMS, step{Count: tasks, CPU: milliCPU, MemMB: 8, EstimateMS: workMS})
+				body := jobBody(workMS, step{Count: tasks, CPU: milliCPU, MemMB: 64, EstimateMS: workMS})
 				if !trouble || c%2 == 0 {
 					d.request(first, http.MethodPost, path, body, deadline)
 					return
