--- a/review/scene/double_crash.go
+++ b/review/scene/double_crash.go
@@ -9,23 +9,23 @@
 // start.
 func doubleCrash(d *deployment, trouble bool) {
 	const (
-		rounds       = 12
-		interval     = 4 * time.Second
+		rounds       = 20
+		interval     = 2500 * time.Millisecond
 		restartDelay = 500 * time.Millisecond
-		// life is how long the agent runs between the two kills.
-		life    = 100 * time.Millisecond
-		callers = 32
+		callers      = 32
 	)
+	// lives are how long the agent runs between the two kills, one round after the other.
+	lives := []time.Duration{40 * time.Millisecond, 50 * time.Millisecond, 60 * time.Millisecond, 80 * time.Millisecond, 100 * time.Millisecond}
 	d.configure(7, queue)
 	entries := []*process{d.startEntry("edge-1"), d.startEntry("edge-2")}
 	workers := d.startWorkers()
 	d.awaitServing(entries, workers...)
 	var wg sync.WaitGroup
-	end := time.Now().Add(rounds * interval)
+	end := time.Now().Add(rounds * (interval + 2*restartDelay))
 	for range callers {
 		wg.Go(func() { d.callUntil(end, entries, 3000, 1) })
 	}
-	for time.Now().Before(end) {
+	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(interval)
 		if !trouble {
 			continue
@@ -35,7 +35,7 @@
 			d.kill(w.agent)
 			time.Sleep(restartDelay)
 			d.run(w.agent)
-			time.Sleep(life)
+			time.Sleep(lives[n%len(lives)])
 		}
 	}
 	wg.Wait()
