Ask the worker before an announcement of a new instance takes effect

Cause: runner.State.WorkerAnnounced took any announcement with another id or a later start time for a restart of the worker and reported its runs as lost, without a stop and without waiting for the lease. Change: an announcement of an unknown instance is confirmed by the worker first: a read of its lists with the announced id as Expected-Instance, whose start time must be the announced one. Announcements of another service than the settings name are rejected.

--- a/bench/model/agent.go
+++ b/bench/model/agent.go
@@ -102,7 +102,11 @@
 
 // announce passes an announcement of the worker to the agent.
 func (a *agent) announce(now time.Duration, announcement runner.Announcement) {
-	a.post(now, microseconds(a.sim.scenario.Costs.AgentCallUS), func(now time.Duration) { a.state.WorkerAnnounced(now, announcement) })
+	a.post(now, microseconds(a.sim.scenario.Costs.AgentCallUS), func(now time.Duration) {
+		if a.state.WorkerAnnounced(now, announcement) == runner.AnnouncementUnidentified {
+			a.state.WorkerIdentified(now, announcement, announcement.Born)
+		}
+	})
 }
 
 // performActions carries out what the state machine decided.
--- a/host/agent.go
+++ b/host/agent.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a)); err != nil {
+	if _, err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a, s.WorkerService)); err != nil {
 		return err
 	}
 	p.group.Add(func() error { a.Run(p.drainCtx); return nil }, func(error) {})
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -138,6 +138,7 @@
 ip: "127.0.0.1"
 listen_addrs: {front: "127.0.0.1:%d", ready: "127.0.0.1:%d", control: "127.0.0.1:%d"}
 app: "127.0.0.1:%d"
+service: "service"
 seeds: [%s]
 internal_ports: [%d, %d]
 platform: {address: %q}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -38,13 +38,25 @@
 func newReadyFixture(t *testing.T) *fixture {
 	f := newFixture(t)
 	f.takeActions()
-	f.s.WorkerAnnounced(f.now, announcement(7, false))
+	f.announce(announcement(7, false))
 	f.answerRenewal()
 	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1", Incarnation: 11})
 	f.takeActions()
 	return f
 }
 
+// announce passes on an announcement of the worker, which confirms it if it is asked, and
+// reports whether the announcement is in effect.
+func (f *fixture) announce(a Announcement) bool {
+	switch f.s.WorkerAnnounced(f.now, a) {
+	case AnnouncementAccepted:
+		return true
+	case AnnouncementUnidentified:
+		return f.s.WorkerIdentified(f.now, a, a.Born)
+	}
+	return false
+}
+
 func announcement(born int64, draining bool) Announcement {
 	return Announcement{
 		ID: fmt.Sprint("life-", born), Born: born, Service: "service", Draining: draining,
@@ -247,7 +259,7 @@
 	f := newFixture(t)
 	f.takeActions()
 	f.answerRenewal(ListedRun{Task: task("j", 0), Attempt: 1, Percent: 20})
-	f.s.WorkerAnnounced(f.now, announcement(7, false))
+	f.announce(announcement(7, false))
 	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1"})
 	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("k", 0)}})
 	f.Assert(f.starts, qt.HasLen, 0, qt.Commentf("the resource need of the run is unknown"))
@@ -320,11 +332,11 @@
 func TestRunsOfARestartedWorkerHaveEnded(t *testing.T) {
 	f := newReadyFixture(t)
 	f.startRun(1, start("j", 0))
-	f.s.WorkerAnnounced(f.now, announcement(9, false))
+	f.announce(announcement(9, false))
 	f.takeActions()
 	f.Assert(f.reports[1].Ends, qt.HasLen, 1)
 	f.Assert(f.reports[1].Ends[0].Outcome, qt.Equals, link.WorkerLost)
-	f.Assert(f.s.WorkerAnnounced(f.now, announcement(7, false)), qt.IsFalse)
+	f.Assert(f.announce(announcement(7, false)), qt.IsFalse)
 }
 
 // Guards against runs that count as in progress after their lease has expired
@@ -402,7 +414,7 @@
 	f.Assert(refusedAt > 0 && refusedAt < 60*ms, qt.IsTrue, qt.Commentf("starts were accepted for %v", refusedAt))
 	f.Assert(calls <= 25, qt.IsTrue, qt.Commentf("%d calls in two seconds", calls))
 	// The worker announces itself when it is back, and is checked at once.
-	f.s.WorkerAnnounced(f.now, announcement(7, false))
+	f.announce(announcement(7, false))
 	f.takeActions()
 	f.Assert(f.renew, qt.IsNotNil)
 	f.answerRenewal()
@@ -477,7 +489,7 @@
 	f.Assert(f.reports[2].Free.MilliCPU, qt.Equals, int64(16000))
 
 	f.sendCommands(2, &link.Commands{Inactive: true})
-	f.s.WorkerAnnounced(f.now, announcement(7, true))
+	f.announce(announcement(7, true))
 	f.takeActions()
 	f.Assert(f.reports[2], qt.IsNotNil)
 	f.Assert(f.reports[2].Accepting, qt.IsFalse)
@@ -563,7 +575,7 @@
 // Guards against tasks that are started on a worker that is about to stop.
 func TestDrainingWorkerTakesNoStarts(t *testing.T) {
 	f := newReadyFixture(t)
-	f.s.WorkerAnnounced(f.now, announcement(7, true))
+	f.announce(announcement(7, true))
 	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("j", 0)}})
 	f.Assert(f.starts, qt.HasLen, 0)
 	f.Assert(f.reports[1].Answers[0].Result, qt.Equals, link.Refused)
--- a/runner/state.go
+++ b/runner/state.go
@@ -269,18 +269,41 @@
 	s.lastFailureRate, s.lastFailureRateAt = rate+failureWeight*(value-rate), now
 }
 
-// WorkerAnnounced handles an announcement of the worker. It returns false if
-// the announcement is outdated.
-func (s *State) WorkerAnnounced(now time.Duration, a Announcement) bool {
+// WorkerAnnounced handles an announcement of the worker. An announcement of another
+// instance than the known one has no effect until WorkerIdentified: anybody can write
+// an announcement, and only the worker itself can tell which instance it is.
+func (s *State) WorkerAnnounced(now time.Duration, a Announcement) AnnouncementResult {
 	w := s.worker
 	sameInstance := w != nil && a.ID == w.ID && a.Born == w.Born
 	switch {
 	case s.workerBorn != 0 && a.Born < s.workerBorn, sameInstance && a.Sequence < w.Sequence:
 		s.log(decisions.Info("ignored an outdated announcement", "life", a.ID, "sequence", a.Sequence, "born", a.Born, "known_born", s.workerBorn))
+		return AnnouncementIgnored
+	case !sameInstance:
+		return AnnouncementUnidentified
+	}
+	s.setWorker(now, a)
+	return AnnouncementAccepted
+}
+
+// WorkerIdentified handles the worker's answer to the question whether it is the instance
+// that an announcement names. born is when the instance that answered started; it is 0 if
+// the worker is another instance. It returns false if the announcement is ignored.
+func (s *State) WorkerIdentified(now time.Duration, a Announcement, born int64) bool {
+	if born != a.Born || born < s.workerBorn {
+		s.log(decisions.Warn("ignored an announcement of another writer: the worker is not the instance that it names",
+			"life", a.ID, "service", a.Service, "born", a.Born, "worker_born", born, "known_born", s.workerBorn))
 		return false
-	case s.workerBorn != 0 && a.Born > s.workerBorn, w != nil && !sameInstance:
-		s.workerRestarted(now, a.Born, "announced")
 	}
+	if s.workerBorn != 0 && born > s.workerBorn || s.worker != nil && s.worker.ID != a.ID {
+		s.workerRestarted(now, born, "announced")
+	}
+	s.setWorker(now, a)
+	return true
+}
+
+// setWorker puts an announcement into effect.
+func (s *State) setWorker(now time.Duration, a Announcement) {
 	if s.worker == nil || s.worker.ID != a.ID || s.worker.Draining != a.Draining {
 		s.actions.Worker = &a
 		s.log(decisions.Info("worker announced", "life", a.ID, "service", a.Service, "milli_cpu", a.Capacity.MilliCPU,
@@ -291,7 +314,6 @@
 		// The worker may be reachable again; check at once.
 		s.nextRenewAt = now
 	}
-	return true
 }
 
 // RestoreWorker sets the announcement that was stored before the agent
--- a/runner/types.go
+++ b/runner/types.go
@@ -73,6 +73,21 @@
 	return nil
 }
 
+// AnnouncementResult says what became of an announcement.
+type AnnouncementResult uint8
+
+// Values of AnnouncementResult.
+const (
+	// AnnouncementAccepted means that the announcement is in effect.
+	AnnouncementAccepted AnnouncementResult = iota
+	// AnnouncementIgnored means that the announcement is outdated.
+	AnnouncementIgnored
+	// AnnouncementUnidentified means that the announcement names an instance that is not
+	// known yet. The worker has to be asked whether it is that instance, and its answer
+	// passed to State.WorkerIdentified.
+	AnnouncementUnidentified
+)
+
 // ListedRun is a run in the worker's list of current runs.
 type ListedRun struct {
 	Task    link.TaskID
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -52,14 +52,19 @@
 	tickInterval = 25 * time.Millisecond
 	// helloTimeout bounds the wait for an entry's first message.
 	helloTimeout = time.Second
+	// identifyTimeout bounds the time in which the worker must have confirmed an
+	// announcement. The sender waits for a second.
+	identifyTimeout = 900 * time.Millisecond
 )
 
-// Errors of WorkerClient.Renew.
+// Errors of WorkerClient.
 var (
 	// ErrConnRefused means that nothing listens at the worker's address.
 	ErrConnRefused = errors.New("nothing listens at the worker's address")
 	// ErrConnClosed means that the worker closed the connection without an answer.
 	ErrConnClosed = errors.New("the worker closed the connection before answering")
+	// ErrOtherInstance means that the worker is not the instance that a call is for.
+	ErrOtherInstance = errors.New("the worker is another instance")
 )
 
 // WorkerClient makes the agent's calls to its worker.
@@ -67,6 +72,9 @@
 	// Start starts a run. It also returns the worker's clock in milliseconds; 0
 	// when there was no answer.
 	Start(ctx context.Context, c runner.StartCall) (runner.StartResult, int64)
+	// Identify asks the worker whether it is the instance id. It returns when that
+	// instance started, in milliseconds, or ErrOtherInstance.
+	Identify(ctx context.Context, id string) (born int64, err error)
 	// Stop reports whether the worker acknowledged the stop.
 	Stop(ctx context.Context, c runner.StopCall) bool
 	// Renew renews the lease and returns the worker's lists. ErrConnRefused means
@@ -404,18 +412,52 @@
 }
 
 // WorkerAnnounced handles an announcement of the worker and waits until it is in
-// effect. It returns false if the announcement is outdated, ctx ends or the
-// agent is shutting down.
+// effect. It returns false if the announcement is outdated, does not come from the
+// worker, the worker does not answer, ctx ends or the agent is shutting down.
 func (a *Agent) WorkerAnnounced(ctx context.Context, an runner.Announcement) bool {
-	accepted := make(chan bool, 1)
-	a.enqueue(func(now time.Duration) { accepted <- a.state.WorkerAnnounced(now, an) })
+	result, ok := await(ctx, a, func(now time.Duration) runner.AnnouncementResult { return a.state.WorkerAnnounced(now, an) })
+	if !ok || result != runner.AnnouncementUnidentified {
+		return ok && result == runner.AnnouncementAccepted
+	}
+	born, err := a.identify(ctx, an.ID)
+	if err != nil {
+		a.opts.Log.Add(decisions.Warn("an announcement has no effect: the worker does not confirm it", "life", an.ID, "born", an.Born, "error", err.Error()))
+		return false
+	}
+	accepted, ok := await(ctx, a, func(now time.Duration) bool { return a.state.WorkerIdentified(now, an, born) })
+	return ok && accepted
+}
+
+// identify asks the worker whether it is the instance id until it has answered, at most
+// for identifyTimeout. It returns 0 if the worker is another instance.
+func (a *Agent) identify(ctx context.Context, id string) (born int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	for {
+		calledAt := time.Now()
+		born, err = a.opts.Worker.Identify(ctx, id)
+		if errors.Is(err, ErrOtherInstance) {
+			return 0, nil
+		}
+		if err == nil || ctx.Err() != nil {
+			return born, err
+		}
+		waitForRetry(calledAt)
+	}
+}
+
+// await runs f in the event loop of the agent and returns its result. ok is false if ctx
+// ends or the agent is shutting down.
+func await[T any](ctx context.Context, a *Agent, f func(now time.Duration) T) (result T, ok bool) {
+	done := make(chan T, 1)
+	a.enqueue(func(now time.Duration) { done <- f(now) })
 	select {
-	case ok := <-accepted:
-		return ok
+	case result = <-done:
+		return result, true
 	case <-a.done:
 	case <-ctx.Done():
 	}
-	return false
+	return result, false
 }
 
 // RestoreWorker sets the announcement that was stored before the agent
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -19,6 +19,8 @@
 	return r, 5
 }
 
+func (*scriptedWorker) Identify(context.Context, string) (int64, error) { return 0, nil }
+
 func (*scriptedWorker) Stop(context.Context, runner.StopCall) bool { return false }
 
 func (*scriptedWorker) Renew(context.Context, runner.RenewCall) (*runner.RenewReply, error) {
