Let a restarted worker's lists decide which runs have ended

Cause: start calls name the worker's id only, which the new process shares. A call that was being made or repeated at the restart ran on the new process, while the agent had already reported the task as not running: runnerd.startWithRetries repeated without regard to the instance, runner.State.workerRestarted and a refused connection ended all runs, and StartDone dropped the answer for a run that it had given up. Change: calls and runs carry the start time of the instance they are for. Calls end with the instance and with their lease; a run whose call is being made never counts as ended; the list of the new instance decides about the others, and an unanswered start is stopped there first. Three tests that ended runs without an answer to their start call now answer it, and the test of a restart gives the new instance's list.

--- a/bench/model/agent.go
+++ b/bench/model/agent.go
@@ -154,7 +154,7 @@
 	}
 	a.sim.engine.at(t+callLatency, func(now time.Duration) {
 		if !a.worker.alive && !a.worker.silent {
-			done(now+callLatency, runner.StartUnanswered, 0)
+			done(now+callLatency, runner.StartNotSent, 0)
 			return
 		}
 		result, answered := runner.StartUnanswered, false
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -146,13 +146,13 @@
 	s.runs[k] = &run{
 		runKey: k, need: c.Need, needKnown: true, estimate: time.Duration(c.EstimateMS) * time.Millisecond,
 		dueAt: now + time.Duration(c.DueMS)*time.Millisecond,
-		conn:  id, entry: conn.entry, startSentAt: now, progressAt: now, rate: progressRate{at: now},
+		conn:  id, entry: conn.entry, startSentAt: now, progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn,
 	}
 	s.lastStartAt = now
 	s.extendLease(now)
 	s.actions.Starts = append(s.actions.Starts, StartCall{
-		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerLeaseEnd(now), WorkerID: s.worker.ID,
-		Timeout: s.callTimeout(now),
+		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerLeaseEnd(now), WorkerID: s.worker.ID, WorkerBorn: s.workerBorn,
+		Need: c.Need, ExpiresAt: now + s.opts.Lease, Timeout: s.callTimeout(now),
 	})
 }
 
@@ -174,7 +174,9 @@
 	if s.worker != nil {
 		workerID = s.worker.ID
 	}
-	s.actions.Stops = append(s.actions.Stops, StopCall{Task: r.task, Attempt: r.attempt, WorkerID: workerID, Timeout: s.callTimeout(now)})
+	s.actions.Stops = append(s.actions.Stops, StopCall{
+		Task: r.task, Attempt: r.attempt, WorkerID: workerID, WorkerBorn: s.workerBorn, Timeout: s.callTimeout(now),
+	})
 }
 
 // detectSuspension checks whether the time since the last event reaches the
@@ -203,9 +205,10 @@
 	for _, r := range s.sortedRuns() {
 		s.checkRun(now, r)
 	}
-	if len(s.runs) > 0 && now > s.leaseExpiresAt {
-		s.log(decisions.Warn("worker lease has expired", "runs", len(s.runs), "worker_answered_ms_ago", (now - s.lastAnswerAt).Milliseconds()))
-		s.endAll(now, link.LeaseExpired)
+	if now > s.leaseExpiresAt {
+		if n := s.endAll(now, link.LeaseExpired); n > 0 {
+			s.log(decisions.Warn("worker lease has expired", "runs", n, "worker_answered_ms_ago", (now - s.lastAnswerAt).Milliseconds()))
+		}
 	}
 	if now < s.nextExpiry {
 		return
@@ -259,8 +262,9 @@
 			s.sendStop(now, r)
 		}
 		// A run that was never confirmed can't start any more once its stop was
-		// acknowledged. Its capacity stays allocated until the next list.
-		if r.stopAckedAt > 0 && r.confirmedAt == 0 && !r.endReported && now-r.stopAckedAt > s.opts.MaxStopTime {
+		// acknowledged, unless its start call may still reach a restarted worker. Its
+		// capacity stays allocated until the next list.
+		if r.stopAckedAt > 0 && r.startDoneAt > 0 && r.confirmedAt == 0 && !r.endReported && now-r.stopAckedAt > s.opts.MaxStopTime {
 			r.endReported = true
 			if conn := s.conns[r.conn]; conn != nil {
 				s.answer(conn, r.runKey, link.NotRunning)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -81,6 +81,12 @@
 // current runs.
 func (f *fixture) answerRenewal(running ...ListedRun) { f.answerRenewalWithEnds(nil, running...) }
 
+// answerRenewalOf answers the renewal that is in flight as the worker instance that started
+// at born.
+func (f *fixture) answerRenewalOf(born int64, running ...ListedRun) {
+	f.s.Renewed(f.now, f.now, &RenewReply{Clock: 5000 + f.now.Milliseconds(), Born: born, Running: running})
+}
+
 func (f *fixture) answerRenewalWithEnds(ended []ListedEnd, running ...ListedRun) {
 	for i := range ended {
 		f.lastEndNumber++
@@ -333,6 +339,8 @@
 	f := newReadyFixture(t)
 	f.startRun(1, start("j", 0))
 	f.announce(announcement(9, false))
+	f.now += ms
+	f.answerRenewalOf(9)
 	f.takeActions()
 	f.Assert(f.reports[1].Ends, qt.HasLen, 1)
 	f.Assert(f.reports[1].Ends[0].Outcome, qt.Equals, link.WorkerLost)
@@ -456,7 +464,7 @@
 		f := newFixtureWithEntries(t, entries)
 		for i, end := 0, f.now+time.Second; f.now < end; i++ {
 			// A task that takes a quarter of the capacity starts and ends.
-			f.sendCommands(1, &link.Commands{Starts: []link.Start{quarterTask(i)}})
+			f.startRun(1, quarterTask(i))
 			for range 2 {
 				f.now += 20 * ms
 				f.s.Tick(f.now)
@@ -546,7 +554,7 @@
 func TestWaitingEntryIsToldOfFreeCapacityAtOnce(t *testing.T) {
 	f := newFixtureWithEntries(t, 40)
 	for i := range 4 {
-		f.sendCommands(1, &link.Commands{Starts: []link.Start{quarterTask(i)}})
+		f.startRun(1, quarterTask(i))
 	}
 	f.now += recentReportAge
 	f.sendCommands(2, &link.Commands{Waiting: true})
--- a/runner/state.go
+++ b/runner/state.go
@@ -58,8 +58,15 @@
 	// stopSentAt and stopAckedAt refer to the latest stop call.
 	stopSentAt  time.Duration
 	stopAckedAt time.Duration
+	// startDoneAt is when the start call was answered or given up, or when a run that was
+	// found on the worker was first listed. It is 0 while the call is being made: the run
+	// may begin at any moment then, also on a worker that has restarted since.
+	startDoneAt time.Duration
 	// startUnanswered is true if the start call had no answer.
 	startUnanswered bool
+	// workerBorn identifies the worker instance that listed the run last, or for which its
+	// start call was issued.
+	workerBorn int64
 	// startReported is true once the entry was told that the run has started.
 	startReported bool
 	// endReported is true once the run counts as not running. Its entry was then
@@ -209,6 +216,10 @@
 
 func (s *State) log(l decisions.Line) { s.actions.LogLines = append(s.actions.LogLines, l) }
 
+// WorkerBorn identifies the worker instance that was heard of last; it is 0 before the
+// first answer.
+func (s *State) WorkerBorn() int64 { return s.workerBorn }
+
 // Runs returns the number of runs that hold capacity.
 func (s *State) Runs() int { return len(s.runs) }
 
@@ -342,20 +353,30 @@
 	}
 }
 
-// workerRestarted ends the runs of the previous worker instance and resets what
-// was known about it.
+// workerRestarted resets what was known about the previous worker instance. Its runs have
+// ended, but for those whose start call has reached the new one: removeUnlisted tells them
+// apart by the new instance's lists.
 func (s *State) workerRestarted(now time.Duration, born int64, how string) {
-	s.log(decisions.Warn("worker has restarted", "how", how, "born", born, "runs_lost", len(s.runs)))
-	s.endAll(now, link.WorkerLost)
+	s.log(decisions.Warn("worker has restarted", "how", how, "born", born, "former_born", s.workerBorn, "runs", len(s.runs)))
 	s.workerBorn, s.lastEndNumber, s.clockKnown, s.worker = born, 0, false, nil
 	s.speed, s.lastFailureRate = newSpeedMeter(), 0
 	s.nextRenewAt = now
+	for _, r := range s.runs {
+		// The new instance knows of no stop yet.
+		r.stopAckedAt = 0
+	}
 }
 
-func (s *State) endAll(now time.Duration, outcome uint8) {
+// endAll ends the runs and returns their number. Those whose start call is still being
+// made are left out: they may begin yet.
+func (s *State) endAll(now time.Duration, outcome uint8) (n int) {
 	for _, r := range s.sortedRuns() {
-		s.end(now, r, outcome)
+		if r.startDoneAt > 0 {
+			s.end(now, r, outcome)
+			n++
+		}
 	}
+	return n
 }
 
 // end removes a run and queues the report of its end to its entry. A run that was
--- a/runner/types.go
+++ b/runner/types.go
@@ -136,6 +136,8 @@
 	StartLeaseExpired
 	// StartUnanswered means that the outcome is unknown.
 	StartUnanswered
+	// StartNotSent means that the worker can't have got the call.
+	StartNotSent
 )
 
 // StartCall starts a run on the worker.
@@ -145,17 +147,27 @@
 	Spec    string
 	// LeaseUntil is on the worker's clock, in milliseconds.
 	LeaseUntil int64
-	// WorkerID is the ID of the worker instance that the call is for.
-	WorkerID string
-	Timeout  time.Duration
+	// WorkerID and WorkerBorn identify the worker instance that the call is for. The
+	// worker compares only the ID, which a restarted worker may share with the instance
+	// before it.
+	WorkerID   string
+	WorkerBorn int64
+	Need       link.Resources
+	// ExpiresAt is when the lease in the call has expired by the agent's clock. The call
+	// must not be made any more from then on: a worker that has restarted meanwhile has
+	// another clock, by which it can't tell.
+	ExpiresAt time.Duration
+	Timeout   time.Duration
 }
 
 // StopCall stops a run on the worker.
 type StopCall struct {
-	Task     link.TaskID
-	Attempt  uint32
-	WorkerID string
-	Timeout  time.Duration
+	Task    link.TaskID
+	Attempt uint32
+	// WorkerID and WorkerBorn are as in StartCall.
+	WorkerID   string
+	WorkerBorn int64
+	Timeout    time.Duration
 }
 
 // RenewCall renews the lease of all runs and requests the worker's lists.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -78,8 +78,12 @@
 	s.updateClock(now, clock)
 	r := s.runs[runKey{c.Task, c.Attempt}]
 	if r == nil {
+		if c.WorkerBorn != s.workerBorn && (result == StartOK || result == StartUnanswered) {
+			s.stopOnNewInstance(now, c)
+		}
 		return
 	}
+	r.startDoneAt = now
 	switch result {
 	case StartOK:
 		s.confirm(now, r)
@@ -98,7 +102,7 @@
 	switch result {
 	case StartOutdated:
 		answer = link.Outdated
-	case StartRefused:
+	case StartRefused, StartNotSent:
 		answer = link.Refused
 	}
 	if conn := s.conns[r.conn]; conn != nil {
@@ -106,6 +110,20 @@
 	}
 }
 
+// stopOnNewInstance stops a run that has ended on an earlier worker instance, but whose
+// repeated start call may have begun it again on the present one. It holds its capacity
+// until the stop is acknowledged.
+func (s *State) stopOnNewInstance(now time.Duration, c StartCall) {
+	k := runKey{c.Task, c.Attempt}
+	s.log(decisions.Warn("a start call may have reached a restarted worker after the end of its run", "job", c.Task.Job, "step", c.Task.Step,
+		"task", c.Task.Index, "attempt", c.Attempt, "born", s.workerBorn, "former_born", c.WorkerBorn))
+	s.runs[k] = &run{
+		runKey: k, phase: stopping, need: c.Need, needKnown: true, startSentAt: now, startDoneAt: now, startUnanswered: true, endReported: true,
+		progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn,
+	}
+	s.sendStop(now, s.runs[k])
+}
+
 // confirm records that the worker has the run, and tells the entry once.
 func (s *State) confirm(now time.Duration, r *run) {
 	if r.confirmedAt == 0 {
@@ -121,10 +139,10 @@
 }
 
 // StopDone handles the outcome of a stop call; ok means that the worker
-// acknowledged it.
+// acknowledged it. The acknowledgement of an earlier worker instance doesn't count.
 func (s *State) StopDone(now time.Duration, c StopCall, ok bool) {
 	s.detectSuspension(now)
-	if r := s.runs[runKey{c.Task, c.Attempt}]; r != nil && ok {
+	if r := s.runs[runKey{c.Task, c.Attempt}]; r != nil && ok && c.WorkerBorn == s.workerBorn {
 		r.stopAckedAt = now
 	}
 }
@@ -236,11 +254,14 @@
 func (s *State) recordListedRun(now time.Duration, k runKey, percent uint8) {
 	r := s.runs[k]
 	if r == nil {
-		r = &run{runKey: k, phase: running, startSentAt: now, orphanedAt: now, progressAt: now, rate: progressRate{at: now, percent: percent}}
+		r = &run{
+			runKey: k, phase: running, startSentAt: now, startDoneAt: now, orphanedAt: now, progressAt: now, rate: progressRate{at: now, percent: percent},
+		}
 		s.runs[k] = r
 		s.extendLease(now)
 		s.log(decisions.Info("adopted a run found on the worker", "job", k.task.Job, "step", k.task.Step, "task", k.task.Index, "attempt", k.attempt, "percent", percent))
 	}
+	r.workerBorn = s.workerBorn
 	s.confirm(now, r)
 	if percent > r.percent {
 		r.progressAt = now
@@ -277,22 +298,30 @@
 	return int64(float64(100-r.percent) / r.rate.perMS)
 }
 
-// removeUnlisted ends the runs that are missing from a list requested at
-// sentAt, if the worker had confirmed them or acknowledged their stop before
-// that, or if their start can't take effect any more. An incomplete list, of which
-// rows could not be read, proves nothing about a confirmed run.
+// removeUnlisted ends the runs that are missing from a list requested at sentAt and can't
+// begin any more: the worker had confirmed them or acknowledged their stop before that, or
+// their start can't take effect any more. An incomplete list, of which rows could not be
+// read, proves nothing about a confirmed run.
 func (s *State) removeUnlisted(now, sentAt time.Duration, listed map[runKey]bool, complete bool) {
 	for _, r := range s.sortedRuns() {
 		k := r.runKey
-		if listed[k] {
+		if listed[k] || r.startDoneAt == 0 || r.startDoneAt >= sentAt {
 			continue
 		}
+		formerInstance := r.workerBorn != s.workerBorn
 		switch {
-		case r.stopAckedAt > 0 && r.stopAckedAt < sentAt && (r.confirmedAt == 0 || sentAt-r.stopAckedAt >= s.opts.MaxStopTime):
+		case r.stopAckedAt > 0 && r.stopAckedAt < sentAt && (r.confirmedAt == 0 || formerInstance || sentAt-r.stopAckedAt >= s.opts.MaxStopTime):
 			// A confirmed run keeps its capacity, although it isn't listed, until the
 			// worker has had MaxStopTime to stop it; a run that was never confirmed can't
 			// start after an acknowledged stop.
 			s.end(now, r, link.Stopped)
+		case formerInstance && complete && !r.startUnanswered:
+			// The run was on the instance that is gone.
+			s.end(now, r, link.WorkerLost)
+		case formerInstance && r.startUnanswered:
+			// A repetition of the start call may still take effect on the new instance,
+			// which rejects it once it has acknowledged a stop.
+			s.stopRun(now, r, "the worker has restarted and its start had no answer")
 		case r.phase == stopping && r.confirmedAt == 0 && sentAt-r.startSentAt > s.maxLease()+s.opts.MaxStopTime:
 			// No stop was acknowledged, but the start call contained the end of its
 			// lease and the worker rejects it after that.
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -14,6 +14,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,8 @@
 	// out.
 	maxEventBatch = 64
 	// maxCallAttempts bounds the attempts at one start or stop call. Repeating either
-	// is safe, since the worker identifies a run by its task and attempt number.
+	// is safe while the worker is the same instance, since it identifies a run by its
+	// task and attempt number.
 	maxCallAttempts = 5
 	// minCallInterval is the shortest time between two attempts at one call: a
 	// worker that closes its connections fails each attempt at once.
@@ -113,6 +115,8 @@
 	starts   chan runner.StartCall
 	stops    chan runner.StopCall
 	metrics  metrics
+	// workerBorn is runner.State.WorkerBorn, for the goroutines that make calls.
+	workerBorn atomic.Int64
 
 	// The fields below are owned by the event loop.
 	state      *runner.State
@@ -212,12 +216,12 @@
 func (a *Agent) performActions() {
 	now := clock.SinceBoot()
 	out := a.state.TakeActions(now)
+	a.workerBorn.Store(a.state.WorkerBorn())
 	for _, c := range out.Starts {
 		select {
 		case a.starts <- c:
 		default:
-			// The call was never made, so the worker can't have the run.
-			a.state.StartDone(now, c, runner.StartNoCapacity, 0)
+			a.state.StartDone(now, c, runner.StartNotSent, 0)
 		}
 	}
 	for _, c := range out.Stops {
@@ -298,7 +302,7 @@
 		case <-ctx.Done():
 			return
 		case c := <-a.starts:
-			result, workerClock := startWithRetries(ctx, a.opts.Worker, c)
+			result, workerClock := a.startWithRetries(ctx, c)
 			a.metrics.starts.Inc(1)
 			if result != runner.StartOK {
 				a.metrics.rejected.Inc(1)
@@ -308,27 +312,31 @@
 	}
 }
 
-// startWithRetries repeats a start call that has no answer. The rejection of a
-// repeated call counts as no answer, since it doesn't tell the outcome of the
-// first one: its run may have ended already, or may still start.
-func startWithRetries(ctx context.Context, w WorkerClient, c runner.StartCall) (runner.StartResult, int64) {
-	calledAt := time.Now()
-	result, workerClock := w.Start(ctx, c)
-	for n := 1; n < maxCallAttempts && result == runner.StartUnanswered; n++ {
-		calledAt = waitForRetry(calledAt)
-		if result, workerClock = w.Start(ctx, c); result != runner.StartOK {
+// startWithRetries repeats a start call that has no answer, as long as the worker is the
+// instance that the call is for, and the lease in the call has not expired. The rejection
+// of a repeated call counts as no answer, since it doesn't tell the outcome of the first
+// one: its run may have ended already, or may still start.
+func (a *Agent) startWithRetries(ctx context.Context, c runner.StartCall) (result runner.StartResult, workerClock int64) {
+	result = runner.StartNotSent
+	for n := 0; n < maxCallAttempts && a.workerBorn.Load() == c.WorkerBorn && clock.SinceBoot() < c.ExpiresAt; n++ {
+		calledAt := time.Now()
+		answer, clockOfAnswer := a.opts.Worker.Start(ctx, c)
+		switch {
+		case answer == runner.StartOK:
+			return answer, clockOfAnswer
+		case answer == runner.StartUnanswered:
 			result = runner.StartUnanswered
+		case result == runner.StartNotSent:
+			return answer, clockOfAnswer
 		}
+		waitForRetry(calledAt)
 	}
-	return result, workerClock
+	return result, 0
 }
 
-// waitForRetry waits until a call whose last attempt began at calledAt may
-// be repeated, and returns the current time.
-func waitForRetry(calledAt time.Time) time.Time {
-	time.Sleep(minCallInterval - time.Since(calledAt))
-	return time.Now()
-}
+// waitForRetry waits until a call whose last attempt began at calledAt may be
+// repeated.
+func waitForRetry(calledAt time.Time) { time.Sleep(minCallInterval - time.Since(calledAt)) }
 
 func (a *Agent) stopLoop(ctx context.Context) {
 	for {
@@ -336,11 +344,12 @@
 		case <-ctx.Done():
 			return
 		case c := <-a.stops:
-			calledAt := time.Now()
-			ok := a.opts.Worker.Stop(ctx, c)
-			for n := 1; n < maxCallAttempts && !ok; n++ {
-				calledAt = waitForRetry(calledAt)
-				ok = a.opts.Worker.Stop(ctx, c)
+			ok := false
+			for n := 0; n < maxCallAttempts && !ok; n++ {
+				calledAt := time.Now()
+				if ok = a.opts.Worker.Stop(ctx, c); !ok {
+					waitForRetry(calledAt)
+				}
 			}
 			a.enqueue(func(now time.Duration) { a.state.StopDone(now, c, ok) })
 		}
