Withdraw starts that are no longer wanted before they are sent

Cause: a job that is accepted and cancelled in one batch of events leaves the starts and the stops of its attempts in one message, and the agent carries out stops before starts: the run begins after its stop, and the entry has forgotten the job. On a related path, the starts of a batch in which the connection is lost and replaced go out over the new connection, after the claims of the same attempts, which the agent has answered with 'not running'. Change: starts that have not been sent are withdrawn when their job ends or their connection is lost; their tasks count as never started. An agent leaves out a start whose stop is in the same message.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -59,6 +59,16 @@
 	w.connected = false
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
+	for _, t := range w.sortedTasks() {
+		if t.phase == starting && s.withdrawStart(t) {
+			// Sent over the next connection, after the claim, it would begin a run that
+			// the agent has just said is not there.
+			t.attempt--
+			s.requeue(now, t)
+		}
+	}
+	// Commands are for the connection on which they were issued.
+	delete(s.commands, name)
 	for id, t := range w.tasks {
 		switch t.phase {
 		case starting, running, stopping:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -411,17 +411,31 @@
 	return lines
 }
 
-// stopAttempt issues a stop of an attempt whose result is no longer needed, and
-// detaches the task from its worker.
+// stopAttempt makes sure that an attempt whose result is no longer needed ends, and
+// detaches the task from its worker. A start that has not been sent yet is withdrawn: the
+// agent carries out the stops of a message before its starts.
 func (s *Scheduler) stopAttempt(t *task) {
-	switch t.phase {
-	case starting, running:
+	switch {
+	case t.phase == starting && s.withdrawStart(t):
+	case t.phase == starting, t.phase == running:
 		c := s.command(t.worker)
 		c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
 	}
 	s.detach(t)
 }
 
+// withdrawStart removes the start of a task from the commands that have not been sent. It
+// returns false if the start has been sent.
+func (s *Scheduler) withdrawStart(t *task) bool {
+	c := s.commands[t.worker.name]
+	if c == nil {
+		return false
+	}
+	unsent := len(c.Starts)
+	c.Starts = slices.DeleteFunc(c.Starts, func(st link.Start) bool { return st.Task == t.id && st.Attempt == t.attempt })
+	return len(c.Starts) < unsent
+}
+
 // detach removes a task from the tasks of its worker. t.worker stays set.
 func (s *Scheduler) detach(t *task) {
 	if t.worker == nil {
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -76,7 +76,12 @@
 		s.handleStop(now, id, &c.Stops[i])
 	}
 	for i := range c.Starts {
-		s.handleStart(now, id, conn, &c.Starts[i])
+		start := &c.Starts[i]
+		// A stop in the same message is for a start that is no longer wanted; it has been
+		// answered already.
+		if !slices.Contains(c.Stops, link.Stop{Task: start.Task, Attempt: start.Attempt}) {
+			s.handleStart(now, id, conn, start)
+		}
 	}
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -220,6 +220,16 @@
 	f.Assert(f.stops, qt.HasLen, 1)
 }
 
+// Guards against a run that nobody stops: its start and its stop come in one message, of
+// which the stop is carried out first.
+func TestStartAndStopInOneMessage(t *testing.T) {
+	f := newReadyFixture(t)
+	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("j", 0), start("j", 1)}, Stops: []link.Stop{{Task: task("j", 0), Attempt: 1}}})
+	f.Assert(f.starts, qt.HasLen, 1)
+	f.Assert(f.starts[0].Task, qt.Equals, task("j", 1))
+	f.Assert(f.reports[1].Answers, qt.DeepEquals, []link.StartAnswer{{Task: task("j", 0), Attempt: 1, Result: link.NotRunning}})
+}
+
 // Guards against losing work because a connection was reset.
 func TestReconnectedEntryKeepsItsRuns(t *testing.T) {
 	f := newReadyFixture(t)
