Stop lost attempts whose job ends before their claim is answered

Callers could see: a job that is cancelled, or whose caller has gone, just after its entry has connected to an agent again runs to its end, and a second time where it is sent next. Cause: finish sends no stop for attempts in phase lost, but their claims may be on the way. The agent takes a claimed run over, and it runs on while the connection lasts. Change: a stop is sent for lost attempts as well if their agent is connected. Test: dispatch.TestJobThatEndsWhileItsClaimIsNotAnswered fails before the change.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -417,7 +417,8 @@
 func (s *Scheduler) stopAttempt(t *task) {
 	switch {
 	case t.phase == starting && s.withdrawStart(t):
-	case t.phase == starting, t.phase == running:
+	case t.phase == starting, t.phase == running, t.phase == lost && t.worker.connected:
+		// The agent may have taken the claim of a lost attempt, which then runs on.
 		c := s.command(t.worker)
 		c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
 	}
--- a/dispatch/unsent_test.go
+++ b/dispatch/unsent_test.go
@@ -28,6 +28,27 @@
 	h.Assert(h.takeStarts()["w1"], qt.HasLen, 2+6)
 }
 
+// Guards against an attempt that the agent has taken over from an earlier connection, and
+// that nobody stops, because its job ends before the claim is answered.
+func TestJobThatEndsWhileItsClaimIsNotAnswered(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		h := newHarness(t)
+		h.addWorker("w1", 8, 1)
+		h.mustAccept(h.newJob("a", 1, 100*ms))
+		start := h.takeStarts()["w1"][0]
+		h.report("w1", 7, 1, &link.Report{Answers: []link.StartAnswer{started(start)}})
+		h.s.AgentDisconnected(h.now, "w1", "reset")
+		h.s.AgentConnected(h.now, "w1")
+		if sent {
+			h.takeActions()
+		}
+		h.s.Cancel(h.now, "a", "the caller has gone")
+		commands := h.takeActions()
+		h.Assert(commands, qt.HasLen, 1)
+		h.Assert(commands[0].Stops, qt.DeepEquals, []link.Stop{{Task: start.Task, Attempt: start.Attempt}})
+	}
+}
+
 // Guards against a start that was placed before the loss of a connection and is sent over the
 // next one, after a claim of the same attempt that the agent answers with "not running".
 func TestStartsThatWereNotSentAreNotSentOverTheNextConnection(t *testing.T) {
