Don't renew the lease of runs that no entry has claimed

Cause: entries start the tasks of a lost agent elsewhere once its last lease must have expired, and counted from the first loss while a claim was unanswered. The short second life of the agent renewed the lease of all runs that it found, claimed or not. Change: a restarted agent doesn't extend the lease while a run that it found is neither claimed nor stopped; an entry counts from the latest loss. Claims that come before the first list are answered after it, instead of with 'unknown': with the lease not renewed they matter sooner. Test: the tests in runner/lease_test.go fail before the change, and so does dispatch.TestTaskIsClaimedAfterTwoLossesInARow as changed here. It demanded that a second loss doesn't delay the restart, which is what broke the rule; it now demands that the restart comes exactly the wait after the second loss.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -71,12 +71,11 @@
 	delete(s.commands, name)
 	for id, t := range w.tasks {
 		switch t.phase {
-		case starting, running, stopping:
+		case starting, running, stopping, lost:
+			// Also if the claim of an earlier loss was not answered: the agent may have
+			// taken it, and renewed the lease until now.
 			t.phase, t.phaseSince, t.leaseExpiresAt = lost, now, now+s.opts.RestartDelay
 			t.job.inDoubt = true
-		case lost:
-			// The claim of an earlier loss was not answered. A new lease can't have begun
-			// meanwhile, so that the time at which it expires stays.
 		default:
 			delete(w.tasks, id)
 		}
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -70,7 +70,7 @@
 	isPing := len(c.Claims)+len(c.Stops)+len(c.Starts) == 0
 	conn.reportDue = conn.reportDue || becameActive || isPing && now-conn.reportedAt >= recentReportAge
 	for i := range c.Claims {
-		s.handleClaim(now, id, conn, &c.Claims[i])
+		s.handleClaim(now, conn, &c.Claims[i])
 	}
 	for i := range c.Stops {
 		s.handleStop(now, id, &c.Stops[i])
@@ -85,10 +85,13 @@
 	}
 }
 
-func (s *State) handleClaim(now time.Duration, id ConnID, conn *entryConn, c *link.Claim) {
+func (s *State) handleClaim(now time.Duration, conn *entryConn, c *link.Claim) {
 	k := runKey{c.Task, c.Attempt}
 	if r := s.runs[k]; r != nil && !r.endReported {
-		r.conn, r.entry = id, conn.entry
+		r.conn, r.entry = conn.id, conn.entry
+		if r.phase != stopping {
+			r.leaseLimit = noLeaseLimit
+		}
 		if !r.needKnown {
 			r.need, r.needKnown, r.estimate = c.Need, true, time.Duration(c.EstimateMS)*time.Millisecond
 			r.dueAt = now + time.Duration(c.DueMS)*time.Millisecond
@@ -104,6 +107,11 @@
 		rep.Ends = append(rep.Ends, e.end)
 		return
 	}
+	if !s.listed {
+		// What runs on the worker is not known yet.
+		conn.claims = append(conn.claims, *c)
+		return
+	}
 	// An agent that has been up for longer than a lease and the time to stop a run
 	// knows every attempt that can still be running.
 	if now-s.startedAt > s.maxLease()+s.opts.MaxStopTime {
@@ -118,6 +126,7 @@
 	if r == nil {
 		k := runKey{c.Task, c.Attempt}
 		if conn := s.conns[id]; conn != nil {
+			conn.claims = slices.DeleteFunc(conn.claims, func(claim link.Claim) bool { return runKey{claim.Task, claim.Attempt} == k })
 			if e, ok := s.recentEnds[k]; ok {
 				s.pendingReport(conn).Ends = append(s.pendingReport(conn).Ends, e.end)
 			} else {
@@ -133,6 +142,7 @@
 
 func (s *State) handleStart(now time.Duration, id ConnID, conn *entryConn, c *link.Start) {
 	k := runKey{c.Task, c.Attempt}
+	leaseEnd := s.leaseEnd(now)
 	if !s.accepting() {
 		s.answer(conn, k, link.Refused)
 		return
@@ -152,12 +162,13 @@
 		runKey: k, need: c.Need, needKnown: true, estimate: time.Duration(c.EstimateMS) * time.Millisecond,
 		dueAt: now + time.Duration(c.DueMS)*time.Millisecond,
 		conn:  id, entry: conn.entry, startSentAt: now, progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn,
+		leaseLimit: noLeaseLimit,
 	}
 	s.lastStartAt = now
-	s.extendLease(now)
+	s.extendLease(now, leaseEnd)
 	s.actions.Starts = append(s.actions.Starts, StartCall{
-		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerLeaseEnd(now), WorkerID: s.worker.ID, WorkerBorn: s.workerBorn,
-		Need: c.Need, ExpiresAt: now + s.opts.Lease, Timeout: s.callTimeout(now),
+		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerTime(leaseEnd), WorkerID: s.worker.ID, WorkerBorn: s.workerBorn,
+		Need: c.Need, ExpiresAt: leaseEnd, Timeout: s.callTimeout(now),
 	})
 }
 
--- /dev/null
+++ b/runner/lease_test.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/link"
+)
+
+func listed(job string, index int) ListedRun { return ListedRun{Task: task(job, index), Attempt: 1} }
+
+func claim(job string, index int) link.Claim {
+	return link.Claim{Task: task(job, index), Attempt: 1, Need: fourCoreNeed, EstimateMS: 100}
+}
+
+// renewedUntil takes the actions and returns the end of the lease by the agent's clock that
+// the next renewal asks for, 0 if it doesn't extend the lease.
+func (f *fixture) renewedUntil() time.Duration {
+	f.Helper()
+	f.renew = nil
+	f.takeActions()
+	f.Assert(f.renew, qt.IsNotNil)
+	if f.renew.LeaseUntil == 0 {
+		return 0
+	}
+	return time.Duration(f.renew.LeaseUntil-5000) * ms
+}
+
+// Guards against a task that starts elsewhere while it runs: its entry counts from the loss
+// of the former agent, and a restarted agent that is killed before the entry has reached it
+// must not have renewed the lease.
+func TestRestartedAgentDoesNotRenewTheLeaseOfUnclaimedRuns(t *testing.T) {
+	f := newFixture(t)
+	f.takeActions()
+	f.answerRenewal(listed("a", 0), listed("b", 0))
+	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1"})
+	for range 5 {
+		f.Assert(f.renewedUntil(), qt.Equals, time.Duration(0))
+		f.now += 20 * ms
+		f.answerRenewal(listed("a", 0), listed("b", 0))
+	}
+	f.s.HandleCommands(f.now, 1, &link.Commands{Claims: []link.Claim{claim("a", 0)}})
+	f.Assert(f.renewedUntil(), qt.Equals, time.Duration(0), qt.Commentf("the lease is that of both runs"))
+	f.advance(75 * ms)
+	f.Assert(f.stops, qt.HasLen, 1)
+	f.s.StopDone(f.now, f.stops[0], true)
+	f.answerRenewal(listed("a", 0))
+	f.Assert(f.renewedUntil(), qt.Equals, f.now+800*ms)
+}
+
+// Guards against a run that is stopped although its entry has claimed it, because the claim
+// came before the agent knew what runs on its worker.
+func TestClaimBeforeTheFirstList(t *testing.T) {
+	f := newFixture(t)
+	f.takeActions()
+	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1"})
+	f.sendCommands(1, &link.Commands{Claims: []link.Claim{claim("j", 0), claim("j", 1), claim("j", 2)}})
+	f.Assert(f.reports[1].Answers, qt.HasLen, 0)
+	f.sendCommands(1, &link.Commands{Stops: []link.Stop{{Task: task("j", 2), Attempt: 1}}})
+	f.now += 10 * ms
+	f.answerRenewal(listed("j", 0), listed("j", 2))
+	f.takeActions()
+	f.Assert(f.reports[1].Answers, qt.DeepEquals, []link.StartAnswer{
+		{Task: task("j", 0), Attempt: 1, Result: link.Started}, {Task: task("j", 1), Attempt: 1, Result: link.Unknown},
+	})
+	f.advance(200 * ms)
+	f.Assert(f.stops, qt.HasLen, 1)
+	f.Assert(f.stops[0].Task, qt.Equals, task("j", 2), qt.Commentf("its job has ended"))
+}
--- a/runner/state.go
+++ b/runner/state.go
@@ -55,6 +55,9 @@
 	progressAt         time.Duration
 	rate               progressRate
 	progressReportedAt time.Duration
+	// leaseLimit is the time beyond which the lease must not be extended because of the
+	// run, see State.leaseLimit.
+	leaseLimit time.Duration
 	// stopSentAt and stopAckedAt refer to the latest stop call.
 	stopSentAt  time.Duration
 	stopAckedAt time.Duration
@@ -103,6 +106,8 @@
 	sequence uint64
 	waiting  bool
 	inactive bool
+	// claims are those that came before the first list of the worker.
+	claims []link.Claim
 	// pending collects the content of the next report; nil if there is none.
 	pending *link.Report
 	// The reported fields hold what the last report to the entry said.
@@ -145,6 +150,8 @@
 	clockKnown  bool
 	// workerBorn is the Born of the current worker instance; 0 when unknown.
 	workerBorn int64
+	// listed is true once the worker has listed its runs.
+	listed bool
 	// unreadableRows is RenewReply.Unreadable of the last reply.
 	unreadableRows string
 	// lastEndNumber is the highest ListedEnd.Number that was processed.
--- a/runner/types.go
+++ b/runner/types.go
@@ -271,6 +271,10 @@
 	// idleRenewWait is how long the worker may hold a renewal while there are no
 	// runs.
 	idleRenewWait = 250 * time.Millisecond
+	// limitedRenewWait is how long the worker may hold a renewal while the lease is not
+	// extended in full, because runs wait for a claim or for the answer to a stop. The
+	// other runs need a renewal soon after that.
+	limitedRenewWait = 20 * time.Millisecond
 	// adoptedRunGrace is how long a restarted agent keeps runs that it found on
 	// the worker and that no entry has claimed: entries redial a lost agent every
 	// 50 ms. The resource need of an unclaimed run is unknown, so nothing else can
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/sesamelift/sesamelift/decisions"
@@ -8,21 +9,35 @@
 )
 
 // maxLease returns the longest duration of a lease by the agent's clock.
-func (s *State) maxLease() time.Duration {
-	return time.Duration(float64(s.opts.Lease) * (1 + clockDrift))
-}
+func (s *State) maxLease() time.Duration { return withDrift(s.opts.Lease) }
+
+// withDrift returns how long a time on the worker's clock may take by the agent's.
+func withDrift(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
+
+// noLeaseLimit is the leaseLimit of a run that goes on as long as its entry wants.
+const noLeaseLimit = time.Duration(math.MaxInt64)
 
-// extendLease records that a call sent now renews the lease.
-func (s *State) extendLease(now time.Duration) {
-	s.leaseExpiresAt = max(s.leaseExpiresAt, now+s.maxLease()+s.opts.MaxStopTime)
+// leaseEnd returns the end of a lease that begins now. There is one lease for all runs of
+// the worker. A run that a restarted agent has found may have been without an entry for any
+// time, so that the lease is not extended until it is claimed or stopped.
+func (s *State) leaseEnd(now time.Duration) time.Duration {
+	end := now + s.opts.Lease
+	for _, r := range s.runs {
+		if r.stopAckedAt == 0 {
+			end = min(end, r.leaseLimit)
+		}
+	}
+	return end
 }
 
-// workerLeaseEnd returns the end of a lease that begins now, on the worker's
-// clock in milliseconds.
-func (s *State) workerLeaseEnd(now time.Duration) int64 {
-	return now.Milliseconds() + s.clockOffset + s.opts.Lease.Milliseconds()
+// extendLease records that a call sent now extends the lease to end.
+func (s *State) extendLease(now, end time.Duration) {
+	s.leaseExpiresAt = max(s.leaseExpiresAt, now+withDrift(end-now)+s.opts.MaxStopTime)
 }
 
+// workerTime returns a time on the worker's clock in milliseconds.
+func (s *State) workerTime(t time.Duration) int64 { return t.Milliseconds() + s.clockOffset }
+
 // lossy reports whether the worker is reachable but leaves some calls
 // unanswered.
 func (s *State) lossy(now time.Duration) bool { return now < s.lossyUntil && s.reachable }
@@ -43,14 +58,19 @@
 	case len(s.runs) > 0:
 		c.MaxWait = busyRenewWait
 	}
-	if s.clockKnown && !s.lastRenewFailed {
-		c.LeaseUntil = s.workerLeaseEnd(now)
-		s.extendLease(now)
-	} else {
+	end := s.leaseEnd(now)
+	if end < now+s.opts.Lease {
+		c.MaxWait = min(c.MaxWait, limitedRenewWait)
+	}
+	switch {
+	case !s.clockKnown || s.lastRenewFailed:
 		// Only the lists are requested while the worker's clock is unknown or if the
 		// last renewal failed: if unanswered calls extended the lease, it would never
 		// expire for a worker that is gone.
 		c.MaxWait = 0
+	case end > now:
+		c.LeaseUntil = s.workerTime(end)
+		s.extendLease(now, end)
 	}
 	s.renewalsInFlight++
 	s.nextRenewAt = now + lossyRenewInterval
@@ -119,7 +139,7 @@
 		"task", c.Task.Index, "attempt", c.Attempt, "born", s.workerBorn, "former_born", c.WorkerBorn))
 	s.runs[k] = &run{
 		runKey: k, phase: stopping, need: c.Need, needKnown: true, startSentAt: now, startDoneAt: now, startUnanswered: true, endReported: true,
-		progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn,
+		progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn, leaseLimit: now + s.opts.Lease,
 	}
 	s.sendStop(now, s.runs[k])
 }
@@ -225,6 +245,15 @@
 	}
 	s.removeUnlisted(now, sentAt, listed, reply.Unreadable == "")
 	s.updateSpeed(now)
+	if !s.listed {
+		s.listed = true
+		for _, conn := range s.connsByID {
+			for i := range conn.claims {
+				s.handleClaim(now, conn, &conn.claims[i])
+			}
+			conn.claims = nil
+		}
+	}
 }
 
 func (s *State) recordListedEnd(now time.Duration, e *ListedEnd) {
@@ -254,11 +283,12 @@
 func (s *State) recordListedRun(now time.Duration, k runKey, percent uint8) {
 	r := s.runs[k]
 	if r == nil {
+		// Its entry may have lost it at any time before, so that leaseLimit is 0.
 		r = &run{
 			runKey: k, phase: running, startSentAt: now, startDoneAt: now, orphanedAt: now, progressAt: now, rate: progressRate{at: now, percent: percent},
 		}
 		s.runs[k] = r
-		s.extendLease(now)
+		s.extendLease(now, now+s.opts.Lease)
 		s.log(decisions.Info("adopted a run found on the worker", "job", k.task.Job, "step", k.task.Step, "task", k.task.Index, "attempt", k.attempt, "percent", percent))
 	}
 	r.workerBorn = s.workerBorn
