End the lease in time for runs whose stop gets no answer

Callers could see: a task that runs twice although its first run was to be stopped, if the worker leaves all stops unanswered. Cause: there is one lease for all runs of a worker, and the agent went on renewing it for its other runs. timing.Derive relies on a stop within MaxStopTime. Change: the lease is extended no further than the runs may last that must end: a lease after their stop or the loss of their connection, or after 250 ms of silence of their entry. Starts, which extend the lease too, are refused while less than half of it is left. Test: runner.TestLeaseEndsInTimeForRunsThatMustEnd fails before the change in all four cases.

--- a/runner/entries.go
+++ b/runner/entries.go
@@ -50,6 +50,7 @@
 	for _, r := range s.runs {
 		if r.conn == id {
 			r.conn, r.orphanedAt = 0, since
+			r.leaseLimit = min(r.leaseLimit, since+s.opts.Lease, s.silenceLimit(conn))
 			orphans++
 		}
 	}
@@ -143,7 +144,7 @@
 func (s *State) handleStart(now time.Duration, id ConnID, conn *entryConn, c *link.Start) {
 	k := runKey{c.Task, c.Attempt}
 	leaseEnd := s.leaseEnd(now)
-	if !s.accepting() {
+	if !s.accepting() || leaseEnd < now+s.opts.Lease/2 {
 		s.answer(conn, k, link.Refused)
 		return
 	}
@@ -181,6 +182,7 @@
 		s.log(decisions.Info("stopping a run", "job", r.task.Job, "step", r.task.Step, "task", r.task.Index, "attempt", r.attempt, "entry", r.entry, "reason", why))
 	}
 	r.phase = stopping
+	r.leaseLimit = min(r.leaseLimit, now+s.opts.Lease)
 	s.sendStop(now, r)
 }
 
--- a/runner/lease_test.go
+++ b/runner/lease_test.go
@@ -69,3 +69,44 @@
 	f.Assert(f.stops, qt.HasLen, 1)
 	f.Assert(f.stops[0].Task, qt.Equals, task("j", 2), qt.Commentf("its job has ended"))
 }
+
+// Guards against a run whose stop gets no answer and whose lease is renewed with that of the
+// other runs, until its job has been submitted again elsewhere.
+func TestLeaseEndsInTimeForRunsThatMustEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end func(f *fixture)
+		// within is how long after end the lease may last.
+		within time.Duration
+	}{
+		"stopped": {func(f *fixture) {
+			f.s.HandleCommands(f.now, 1, &link.Commands{Stops: []link.Stop{{Task: task("a", 0), Attempt: 1}}})
+		}, 800 * ms},
+		"connection lost": {func(f *fixture) { f.s.EntryDisconnected(f.now, 1, "reset") }, 800 * ms},
+		"silent entry":    {func(*fixture) {}, 250*ms + 800*ms},
+		"suspended":       {func(f *fixture) { f.now += 600 * ms }, 200 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newReadyFixture(t)
+			f.s.EntryConnected(f.now, 2, link.Hello{Entry: "e2"})
+			f.startRun(1, start("a", 0))
+			f.startRun(2, start("b", 0))
+			tc.end(f)
+			ended := f.now
+			for f.now < ended+1200*ms {
+				f.s.HandleCommands(f.now, 2, &link.Commands{})
+				f.answerRenewal(listed("a", 0), listed("b", 0))
+				if until := f.renewedUntil(); until > 0 {
+					f.Assert(until <= ended+tc.within, qt.IsTrue, qt.Commentf("%v after the end", until-ended))
+				}
+				f.now += 25 * ms
+				f.s.Tick(f.now)
+			}
+			// No start extends it either.
+			f.sendCommands(2, &link.Commands{Starts: []link.Start{start("c", 0)}})
+			f.Assert(f.starts, qt.HasLen, 0)
+			// It is renewed again once the worker lists the end.
+			f.answerRenewalWithEnds([]ListedEnd{{Task: task("a", 0), Attempt: 1, Outcome: link.LeaseExpired}, {Task: task("b", 0), Attempt: 1, Outcome: link.LeaseExpired}})
+			f.Assert(f.renewedUntil(), qt.Equals, f.now+800*ms)
+		})
+	}
+}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -18,18 +18,31 @@
 const noLeaseLimit = time.Duration(math.MaxInt64)
 
 // leaseEnd returns the end of a lease that begins now. There is one lease for all runs of
-// the worker. A run that a restarted agent has found may have been without an entry for any
-// time, so that the lease is not extended until it is claimed or stopped.
+// the worker. Callers and entries count on it for runs that must end: those of an entry
+// that is silent or has lost its connection, and those that are being stopped. If their
+// stops get no answer, the lease ends them in time, together with the other runs. A run
+// that a restarted agent has found may have been without an entry for any time, so that
+// the lease is not extended at all until it is claimed or stopped.
 func (s *State) leaseEnd(now time.Duration) time.Duration {
 	end := now + s.opts.Lease
 	for _, r := range s.runs {
-		if r.stopAckedAt == 0 {
-			end = min(end, r.leaseLimit)
+		if r.stopAckedAt > 0 {
+			continue
+		}
+		end = min(end, r.leaseLimit)
+		if conn := s.conns[r.conn]; conn != nil {
+			end = min(end, s.silenceLimit(conn))
 		}
 	}
 	return end
 }
 
+// silenceLimit returns the latest end of the lease for the runs of an entry that is not
+// heard of any more.
+func (s *State) silenceLimit(conn *entryConn) time.Duration {
+	return conn.lastHeardAt + s.opts.ReconnectGrace + s.opts.Lease
+}
+
 // extendLease records that a call sent now extends the lease to end.
 func (s *State) extendLease(now, end time.Duration) {
 	s.leaseExpiresAt = max(s.leaseExpiresAt, now+withDrift(end-now)+s.opts.MaxStopTime)
