Don't take a leave or a refused connection for the end of a worker's runs

Callers could see: tasks of a worker that shuts down run twice at the same time. Cause: on a leave, or when nothing listens at the worker's address, the agent reported all runs as ended. A worker sends its leave before it ends, a process that shuts down closes its listener before its work is done, and a late leave may be of an earlier instance with the same id. Evidence: a worker that closes its listener, or sends a leave, while two tasks run: both tasks start on a second worker and overlap. The users' record of tasks that ran twice shows refused connections to workers, among others. Change: both only keep the worker from getting starts; lists and the lease end its runs. Test: host.TestTasksOfALeavingWorkerDontOverlap fails before the change in both cases. Cost: after a crash of a worker that stays away its tasks start elsewhere when the lease has expired, not at once.

--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -124,9 +124,11 @@
 	settings   *platform.Settings
 	agent      bool
 	worker     *site.Worker
-	ctx        context.Context
-	terminate  context.CancelFunc
-	exited     chan struct{}
+	// closeWorker closes the worker's listener and connections; its runs go on.
+	closeWorker func()
+	ctx         context.Context
+	terminate   context.CancelFunc
+	exited      chan struct{}
 }
 
 // writeSettings writes the settings file of a process and returns the settings read
@@ -195,7 +197,8 @@
 	return p
 }
 
-// startWorker starts a worker for the agent p.
+// startWorker starts a worker for the agent p. The listener of the worker is closed at the
+// end of the test, or by p.closeWorker.
 func (d *deployment) startWorker(p *testProcess, id string, speed float64) *site.Worker {
 	w := site.NewWorker(site.WorkerOptions{
 		ID: id, Service: "service", MilliCPU: 16000, Speed: speed, AgentAddress: p.settings.ControlAddress,
@@ -208,6 +211,7 @@
 	go func() { _ = server.Serve(l) }()
 	go w.Run(ctx)
 	d.t.Cleanup(func() { cancel(); _ = server.Close() })
+	p.closeWorker = func() { _ = server.Close() }
 	return w
 }
 
--- a/host/path_test.go
+++ b/host/path_test.go
@@ -262,6 +262,34 @@
 	d.Assert(d.audit.Starts(jobID(1)), qt.Equals, 4)
 }
 
+// Guards against tasks that start elsewhere while they run, because their worker has said that
+// it leaves, or refuses connections: it may be shutting down while its runs go on.
+func TestTasksOfALeavingWorkerDontOverlap(t *testing.T) {
+	for name, end := range map[string]func(a *testProcess){
+		"leaves": func(a *testProcess) {
+			resp, err := http.Post("http://"+a.settings.ControlAddress+"/-/instances/worker-a1/leave", "application/json", nil)
+			a.deployment.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+		},
+		"refuses connections": func(a *testProcess) { a.closeWorker() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			e := d.startEntry("e1")
+			a := d.startAgent("a1", 1)
+			d.waitUntilServing(e)
+			done := make(chan response, 1)
+			go func() { done <- e.submit(jobID(1), 2, 500) }()
+			d.eventually("both tasks run", time.Second, func() bool { return a.worker.Running() == 2 })
+			d.startAgent("a2", 1)
+			time.Sleep(100 * time.Millisecond)
+			end(a)
+			got := <-done
+			d.Check(got.body, qt.Equals, completed)
+		})
+	}
+}
+
 // Guards against concurrent runs of a task when the worker executes a request
 // without answering it or after a delay, and against jobs that are not completed
 // because the answer is missing.
--- a/link/messages.go
+++ b/link/messages.go
@@ -149,8 +149,7 @@
 	Stopped
 	// LeaseExpired says that the lease of the worker's tasks expired.
 	LeaseExpired
-	// WorkerLost says that the worker restarted, left, refused a connection or no
-	// longer lists the attempt.
+	// WorkerLost says that the worker restarted, or no longer lists the attempt.
 	WorkerLost
 )
 
--- a/runner/state.go
+++ b/runner/state.go
@@ -351,12 +351,14 @@
 	s.log(decisions.Info("stored worker announcement restored", "life", r.ID, "born", r.Born, "milli_cpu", r.Capacity.MilliCPU, "draining", r.Draining))
 }
 
-// WorkerLeft handles the shutdown of the worker instance id.
+// WorkerLeft handles the message of the worker instance id that it is about to end. It
+// gets no starts any more unless it announces itself again. Its runs may go on until it has
+// ended, or for good if the message is late and of an earlier instance with the same ID.
 func (s *State) WorkerLeft(now time.Duration, id string) {
 	if s.worker != nil && s.worker.ID == id {
 		s.log(decisions.Info("worker left", "life", id, "runs", len(s.runs)))
 		s.worker = nil
-		s.endAll(now, link.WorkerLost)
+		s.nextRenewAt = now
 	}
 }
 
--- a/runner/types.go
+++ b/runner/types.go
@@ -191,8 +191,8 @@
 	// RenewConnClosed means that the worker closed the connection; runs may
 	// continue.
 	RenewConnClosed
-	// RenewConnRefused means that nothing listens at the worker's address, so no
-	// run can be in progress there.
+	// RenewConnRefused means that nothing listens at the worker's address. It gets no
+	// starts; its runs may continue, as those of a worker do that is shutting down.
 	RenewConnRefused
 )
 
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -198,10 +198,8 @@
 		s.log(decisions.Warn("worker doesn't answer", "error", why, "failures", s.renewFailures,
 			"answered_ms_ago", (now - s.lastAnswerAt).Milliseconds(), "runs", len(s.runs)))
 	}
+	// Its runs may go on, even if nothing listens any more: their lease ends them.
 	s.reachable = false
-	if failure == RenewConnRefused {
-		s.endAll(now, link.WorkerLost)
-	}
 }
 
 // renewBackoff returns the delay before the next renewal after a failed one.
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -80,7 +80,7 @@
 	// Stop reports whether the worker acknowledged the stop.
 	Stop(ctx context.Context, c runner.StopCall) bool
 	// Renew renews the lease and returns the worker's lists. ErrConnRefused means
-	// that no run can be in progress, ErrConnClosed that the next call is likely to
+	// that the worker takes no calls, ErrConnClosed that the next call is likely to
 	// fail at once as well.
 	Renew(ctx context.Context, c runner.RenewCall) (*runner.RenewReply, error)
 }
