Let the soak mix up lives of workers, agents and connections

The soak now sends heartbeats of other writers and late leaves, restarts workers within 20 to 200 ms under their id, lets them shut down while their runs go on, kills processes again 20 to 300 ms after their return, and resets callers' connections 0 to 10 ms after large jobs were sent.

--- a/host/announcement_test.go
+++ b/host/announcement_test.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -28,16 +27,6 @@
 	return resp.StatusCode
 }
 
-// bornOfWorker asks the worker of p when it started.
-func bornOfWorker(p *testProcess) int64 {
-	resp, err := http.Post("http://"+p.settings.WorkerAddress+"/-/hold", "application/json", strings.NewReader("{}"))
-	p.deployment.Assert(err, qt.IsNil)
-	defer func() { _ = resp.Body.Close() }()
-	var lists struct{ Born int64 }
-	p.deployment.Assert(json.NewDecoder(resp.Body).Decode(&lists), qt.IsNil)
-	return lists.Born
-}
-
 // Guards against a heartbeat of another writer that makes the agent give up the runs of its
 // worker, so that their tasks start elsewhere while they still run; that is acknowledged;
 // or that keeps the agent from using its worker.
@@ -59,7 +48,7 @@
 			d.eventually("the task runs", time.Second, func() bool { return a.worker.Running() == 1 })
 			d.startAgent("a2", 1)
 			time.Sleep(300 * time.Millisecond)
-			d.Check(foreign(bornOfWorker(a)).send(a), qt.Not(qt.Equals), http.StatusOK)
+			d.Check(foreign(a.worker.Born()).send(a), qt.Not(qt.Equals), http.StatusOK)
 			got := <-done
 			d.Check(got.body, qt.Equals, completed)
 			d.Check(d.audit.Starts(jobID(1)), qt.Equals, 1)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,17 +43,21 @@
 	// entries to an agent, and workerProxy those of an agent to its worker.
 	callerProxy, agentProxy, workerProxy *tcpProxy
 	controlAddr, readyAddr               string
-	worker                               *workerInstance
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu     sync.Mutex
+	worker *workerInstance
+	cmd    *exec.Cmd
 	// exitExpected is set when the soak test has sent a signal that ends the process.
 	exitExpected bool
 	stopped      bool
+	// replacing is true while the worker is being replaced.
+	replacing atomic.Bool
 }
 
 // workerInstance is a worker instance and its HTTP server.
 type workerInstance struct {
+	id     string
+	speed  float64
 	worker *site.Worker
 	cancel context.CancelFunc
 	server *http.Server
@@ -68,7 +73,7 @@
 	entries        []*process
 	agents         []*process
 	version        int
-	workersStarted int
+	workersStarted atomic.Int64
 
 	mu         sync.Mutex
 	violations []string
@@ -113,7 +118,7 @@
 		go d.supervise(p)
 	}
 	for i, p := range d.agents {
-		d.startWorker(p, []float64{1.2, 0.55, 1, 1.2}[i%4])
+		d.startWorker(p, d.newWorkerID(p), []float64{1.2, 0.55, 1, 1.2}[i%4])
 	}
 	return d, nil
 }
@@ -180,6 +185,7 @@
 ip: "127.0.0.1"
 listen_addrs: {front: %q, ready: %q, control: %q}
 app: %q
+service: "s"
 seeds: [%s]
 internal_ports: [%d, %d]
 platform: {address: %q}
@@ -260,35 +266,61 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-func (d *deployment) startWorker(p *process, speed float64) {
-	d.workersStarted++
+// startWorker starts a worker instance for an agent.
+func (d *deployment) startWorker(p *process, id string, speed float64) {
 	w := site.NewWorker(site.WorkerOptions{
-		ID: fmt.Sprintf("%s-life-%d", p.name, d.workersStarted), Service: "s", MilliCPU: workerMilliCPU, Speed: speed,
-		AgentAddress: p.controlAddr, Interval: announceInterval, Audit: d.audit,
+		ID: id, Service: "s", MilliCPU: workerMilliCPU, Speed: speed, AgentAddress: p.controlAddr, Interval: announceInterval, Audit: d.audit,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	instance := &workerInstance{worker: w, cancel: cancel, server: &http.Server{Handler: w}}
+	instance := &workerInstance{id: id, speed: speed, worker: w, cancel: cancel, server: &http.Server{Handler: w}}
 	go func() {
 		var l net.Listener
 		var err error
-		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 			if l, err = net.Listen("tcp", p.workerProxy.target); err == nil {
 				_ = instance.server.Serve(l)
 				return
 			}
 		}
-		d.violation("worker of %s failed to listen within 5 s: %v", p.name, err)
+		if ctx.Err() == nil {
+			d.violation("worker of %s failed to listen within 5 s: %v", p.name, err)
+		}
 	}()
 	go w.Run(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.worker = instance
 }
 
-// crashWorker crashes the worker and starts a new instance at the same address.
-func (d *deployment) crashWorker(p *process, speed float64) {
-	p.worker.worker.Crash()
-	p.worker.cancel()
-	_ = p.worker.server.Close()
-	d.startWorker(p, speed)
+// currentWorker returns the worker instance of an agent. It may be replaced at any time.
+func (p *process) currentWorker() *workerInstance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.worker
+}
+
+// replaceWorker crashes the worker and starts another instance at the same address after
+// downTime. It has a new ID unless keepID is set. While another replacement is under way,
+// nothing happens.
+func (d *deployment) replaceWorker(p *process, keepID bool, speed float64, downTime time.Duration) {
+	if !p.replacing.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.replacing.Store(false)
+	old := p.currentWorker()
+	old.worker.Crash()
+	old.cancel()
+	_ = old.server.Close()
+	time.Sleep(downTime)
+	id := old.id
+	if !keepID {
+		id = d.newWorkerID(p)
+	}
+	d.startWorker(p, id, speed)
+}
+
+func (d *deployment) newWorkerID(p *process) string {
+	return fmt.Sprintf("%s-life-%d", p.name, d.workersStarted.Add(1))
 }
 
 // close ends everything that the deployment has started.
@@ -306,9 +338,9 @@
 				proxy.close()
 			}
 		}
-		if p.worker != nil {
-			p.worker.cancel()
-			_ = p.worker.server.Close()
+		if w := p.currentWorker(); w != nil {
+			w.cancel()
+			_ = w.server.Close()
 		}
 	}
 	for _, proxy := range d.storeProxies {
@@ -317,12 +349,13 @@
 	_ = d.storeServer.Close()
 }
 
-// jobBody returns a job whose tasks each take workMS milliseconds at speed 1.
-func jobBody(tasks, workMS int) []byte {
-	spec, _ := json.Marshal(site.Spec{WorkMS: int64(workMS), MilliCPU: taskMilliCPU})
+// jobBody returns a job whose tasks each take workMS milliseconds at speed 1 and need
+// milliCPU.
+func jobBody(tasks, workMS, milliCPU int) []byte {
+	spec, _ := json.Marshal(site.Spec{WorkMS: int64(workMS), MilliCPU: int64(milliCPU)})
 	b, _ := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": true,
-		"steps": []any{map[string]any{"count": tasks, "cpu": taskMilliCPU, "mem_mb": 64, "estimate_ms": workMS}},
+		"steps": []any{map[string]any{"count": tasks, "cpu": milliCPU, "mem_mb": 64, "estimate_ms": workMS}},
 	})
 	return b
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -107,17 +110,118 @@
 	workerFault("worker silent", func(*rand.Rand) site.WorkerFaults { return site.WorkerFaults{Silent: true} }),
 	{"worker crashes", func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
-		d.crashWorker(p, 0.5+r.Float64())
+		d.replaceWorker(p, false, 0.5+r.Float64(), 0)
 		return p.name, noUndo
 	}},
 }
 
+// lifeFaults are faults in which one life of a worker, an agent or a connection meets the
+// next, or another writer's. They take effect beside those of faults.
+var lifeFaults = []fault{
+	{"heartbeats of other writers", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.agents)
+		d.sendForeignHeartbeats(p, r)
+		return p.name, noUndo
+	}},
+	{"worker restarts at once", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.agents)
+		downTime := time.Duration(20+r.IntN(180)) * time.Millisecond
+		d.replaceWorker(p, r.IntN(4) != 0, p.currentWorker().speed, downTime)
+		return fmt.Sprint(p.name, " after ", downTime), noUndo
+	}},
+	{"worker shuts down", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.agents)
+		w, keepID := p.currentWorker(), r.IntN(2) == 0
+		_ = w.server.Close()
+		return p.name, func() { d.replaceWorker(p, keepID, w.speed, 0) }
+	}},
+	{"late leave", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.agents)
+		d.postToAgent(p, p.currentWorker().id, "leave", "")
+		return p.name, noUndo
+	}},
+	{"kill again and again", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pickAny(d, r)
+		for range 2 + r.IntN(2) {
+			p.signal(syscall.SIGKILL)
+			time.Sleep(restartDelay + time.Duration(20+r.IntN(280))*time.Millisecond)
+		}
+		return p.name, noUndo
+	}},
+	{"reset connections of a burst", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.entries)
+		d.sendBurst(p, r)
+		return p.name, noUndo
+	}},
+}
+
+// sendForeignHeartbeats sends heartbeats that don't come from the worker of an agent.
+func (d *deployment) sendForeignHeartbeats(p *process, r *rand.Rand) {
+	w := p.currentWorker()
+	born := w.worker.Born()
+	capacity := `"capacity":{"cpu":32000,"mem_mb":131072},"state":"ready"`
+	for range 1 + r.IntN(3) {
+		id := fmt.Sprintf("i-%08x", r.Uint32())
+		switch r.IntN(5) {
+		case 0:
+			d.postToAgent(p, id, "heartbeat", fmt.Sprintf(`{"service":"unnamed","zone":"z1","seq_no":1,"born":%d,%s}`, born+r.Int64N(5000), capacity))
+		case 1:
+			d.postToAgent(p, id, "heartbeat", fmt.Sprintf(`{"service":"s","zone":"z1","seq_no":1,"born":%d,%s}`, born, capacity))
+		case 2:
+			d.postToAgent(p, w.id, "heartbeat", fmt.Sprintf(`{"service":"s","zone":"z1","seq_no":1,"born":%d,%s}`, born+1+r.Int64N(5000), capacity))
+		case 3:
+			d.postToAgent(p, id, "heartbeat", `{"service":"s","zone":7,"state":"ready"}`)
+		case 4:
+			d.postToAgent(p, w.id, "heartbeat", `{"service":"s","state":"resting"`)
+		}
+	}
+}
+
+// postToAgent sends a message in the name of a worker instance. Whether it is acknowledged
+// doesn't matter.
+func (d *deployment) postToAgent(p *process, instance, message, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.controlAddr+"/-/instances/"+instance+"/"+message, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if resp, err := client.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// sendBurst sends large jobs to an entry at once and resets the connections of half of them
+// 0 to 10 ms later. These are sent to another entry after resendDelay.
+func (d *deployment) sendBurst(p *process, r *rand.Rand) {
+	const (
+		jobs, tasks, workMS = 12, 24, 1500
+		// milliCPU lets the tasks of all jobs run at the same time.
+		milliCPU = 200
+	)
+	other := pick(r, d.entries)
+	for n := range jobs {
+		id, resetDelay := fmt.Sprintf("%016x", r.Uint64()), time.Duration(r.IntN(10000))*time.Microsecond
+		body := jobBody(tasks, workMS, milliCPU)
+		go func() {
+			if n%2 == 0 {
+				_, _ = submit(p, id, callerTimeout, body)
+				return
+			}
+			_, _ = submit(p, id, resetDelay, body)
+			time.Sleep(resendDelay)
+			_, _ = submit(other, id, callerTimeout, body)
+		}()
+	}
+}
+
 func workerFault(name string, f func(*rand.Rand) site.WorkerFaults) fault {
 	return fault{name, func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
-		// undo reads p.worker again, because the worker may have crashed and been
-		// replaced by a new instance in the meantime.
-		p.worker.worker.SetFaults(f(r))
-		return p.name, func() { p.worker.worker.SetFaults(site.WorkerFaults{}) }
+		// undo reads the worker again, because it may have crashed and been replaced by a
+		// new instance in the meantime.
+		p.currentWorker().worker.SetFaults(f(r))
+		return p.name, func() { p.currentWorker().worker.SetFaults(site.WorkerFaults{}) }
 	}}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,8 +42,9 @@
 	Programs, Dir string
 	// Entries and Agents are the numbers of processes.
 	Entries, Agents int
-	// FaultsPerSecond is the mean rate of injected faults.
-	FaultsPerSecond float64
+	// FaultsPerSecond is the mean rate of injected faults, LifeFaultsPerSecond that of
+	// lifeFaults.
+	FaultsPerSecond, LifeFaultsPerSecond float64
 	// Out receives a line for each injected fault and one summary line.
 	Out io.Writer
 	// completed and sent count the jobs of the run.
@@ -65,7 +66,10 @@
 		return []string{"not every entry serves within the start timeout"}, nil
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { d.injectFaults(&o) })
+	wg.Go(func() { d.injectFaults(&o, faults, o.FaultsPerSecond, rand.New(rand.NewPCG(o.Seed, 1))) })
+	if o.LifeFaultsPerSecond > 0 {
+		wg.Go(func() { d.injectFaults(&o, lifeFaults, o.LifeFaultsPerSecond, rand.New(rand.NewPCG(o.Seed, 3))) })
+	}
 	d.sendJobs(&o)
 	wg.Wait()
 	if !d.waitAllServing(recoveryTimeout) {
@@ -74,7 +78,7 @@
 	d.checkConfig()
 	time.Sleep(settleTime)
 	for _, p := range d.agents {
-		if n := p.worker.worker.Running(); n > 0 {
+		if n := p.currentWorker().worker.Running(); n > 0 {
 			d.violation("%d runs still active on the worker of %s after the last answer", n, p.name)
 		}
 	}
@@ -84,27 +88,33 @@
 	return append(d.violations, d.audit.Violations()...), nil
 }
 
-// injectFaults injects random faults, which may overlap, and undoes each after its
-// duration.
-func (d *deployment) injectFaults(o *Options) {
-	r := rand.New(rand.NewPCG(o.Seed, 1))
+// injectFaults injects random faults of a list, which may overlap, and undoes each after
+// its duration.
+func (d *deployment) injectFaults(o *Options, list []fault, perSecond float64, r *rand.Rand) {
 	var wg sync.WaitGroup
 	deadline := time.Now().Add(trafficTime)
 	for {
-		wait := time.Duration(r.ExpFloat64() / o.FaultsPerSecond * float64(time.Second))
+		wait := time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
 		if time.Now().Add(wait).After(deadline) {
 			break
 		}
 		time.Sleep(wait)
-		f := faults[r.IntN(len(faults))]
+		f := list[r.IntN(len(list))]
 		target, undo := f.apply(d, r)
 		duration := time.Duration(100+r.IntN(2000)) * time.Millisecond
-		fmt.Fprintf(o.Out, "seed %d: %s %s %s for %v\n", o.Seed, time.Now().UTC().Format("05.000"), f.name, target, duration)
+		d.printf(o.Out, "seed %d: %s %s %s for %v\n", o.Seed, time.Now().UTC().Format("05.000"), f.name, target, duration)
 		wg.Go(func() { time.Sleep(duration); undo() })
 	}
 	wg.Wait()
 }
 
+// printf writes a line of the output. It is safe for concurrent use.
+func (d *deployment) printf(out io.Writer, format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Fprintf(out, format, args...)
+}
+
 // sendJobs sends jobs from simulated callers, which check the answers.
 func (d *deployment) sendJobs(o *Options) {
 	r := rand.New(rand.NewPCG(o.Seed, 2))
@@ -118,7 +128,7 @@
 		tasks, workMS := 1+r.IntN(4), 20+r.IntN(400)
 		firstEntry := r.IntN(len(d.entries))
 		wg.Go(func() {
-			completed := d.runCaller(id, firstEntry, jobBody(tasks, workMS))
+			completed := d.runCaller(id, firstEntry, jobBody(tasks, workMS, taskMilliCPU))
 			mu.Lock()
 			defer mu.Unlock()
 			o.sent++
@@ -178,7 +188,7 @@
 	for i, p := range d.entries {
 		for n := 0; ; n++ {
 			id := fmt.Sprintf("ffff%04x%08x", i, uint32(time.Now().UnixNano()))
-			if status, _ := submit(p, id, time.Second, jobBody(1, 10)); status == http.StatusOK {
+			if status, _ := submit(p, id, time.Second, jobBody(1, 10, taskMilliCPU)); status == http.StatusOK {
 				break
 			}
 			if time.Now().After(deadline) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,11 +13,14 @@
 // the cause, and a baseline. The seed determines the faults, but their exact timing
 // also depends on the machine, so each cause also has a dedicated test.
 var regressions = []struct {
-	seed  uint64
-	cause string
+	seed uint64
+	// lifeFaults is the rate of lifeFaults per second; the earlier seeds had none.
+	lifeFaults float64
+	cause      string
 }{
-	{598297906, "a job was refused as not run while its start request was in transit to a paused agent (dispatch.TestJobWithOrderedStartIsNotReportedAsNotRun)"},
-	{1, "no failure known; fixed baseline seed"},
+	{598297906, 0, "a job was refused as not run while its start request was in transit to a paused agent (dispatch.TestJobWithOrderedStartIsNotReportedAsNotRun)"},
+	{709804017, 1, "heartbeats of other writers, leaves and restarts made the agent give up runs that went on (host.TestHeartbeatOfAnotherWriter, host.TestTasksOfALeavingWorkerDontOverlap, runner.TestStartCallThatReachesARestartedWorker)"},
+	{1, 0, "no failure known; fixed baseline seed"},
 }
 
 // Guards against a violation of the product's guarantees that only a combination of
@@ -32,7 +35,7 @@
 			t.Parallel()
 			var log strings.Builder
 			violations, err := Run(Options{
-				Seed: r.seed, Programs: programs, Dir: t.TempDir(), Entries: 2, Agents: 3, FaultsPerSecond: 1.5, Out: &log,
+				Seed: r.seed, Programs: programs, Dir: t.TempDir(), Entries: 2, Agents: 3, FaultsPerSecond: 1.5, LifeFaultsPerSecond: r.lifeFaults, Out: &log,
 			})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, violations, qt.HasLen, 0, qt.Commentf("%s%s", r.cause, log.String()))
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -136,6 +136,9 @@
 	clear(w.runs)
 }
 
+// Born returns the start time of the worker instance in Unix milliseconds.
+func (w *Worker) Born() int64 { return w.startedAt.UnixMilli() }
+
 // Running returns the number of runs.
 func (w *Worker) Running() int {
 	w.mu.Lock()
@@ -178,7 +181,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"service": w.options.Service, "address": "127.0.0.1:0", "zone": "z1", "version": "v1", "slots": 8, "state": w.state,
 		"cold_left_ms": 0, "capacity": map[string]any{"cpu": w.options.MilliCPU, "mem_mb": 131072, "gpu": 0}, "labels": []string{"a", "r1-1"},
-		"clock_ms": w.clock(), "seq_no": w.seq, "born": w.startedAt.UnixMilli(),
+		"clock_ms": w.clock(), "seq_no": w.seq, "born": w.Born(),
 	})
 	crashed := w.crashed
 	w.mu.Unlock()
@@ -387,7 +390,7 @@
 		percent := 100 * run.progress.Milliseconds() / max(run.spec.WorkMS, 1)
 		running = append(running, []any{run.task, run.attempt, "", min(percent, 100), run.spec.MilliCPU})
 	}
-	body := map[string]any{"clock_ms": w.clock(), "born": w.startedAt.UnixMilli(), "running": running, "finished": append([][]any{}, w.finished...)}
+	body := map[string]any{"clock_ms": w.clock(), "born": w.Born(), "running": running, "finished": append([][]any{}, w.finished...)}
 	w.mu.Unlock()
 	writeJSON(rw, http.StatusOK, body)
 }
