Use the clock of a start call's answer for the same worker instance only

Callers could see: a task that starts elsewhere before the lease of its first run has ended. Cause: the clock in the late answer of a former instance replaced that of the present one, so that renewals asked for a lease that ends too late by the difference of the two clocks; the worker shortens it only to its longest lease. Change: the answer's clock counts only if the call was for the present instance. Test: runner.TestClockOfTheFormerInstanceIsNotUsed fails before the change.

--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -138,3 +138,14 @@
 		f.Assert(f.s.freeCapacity(), qt.Equals, f.s.worker.Capacity)
 	}
 }
+
+// Guards against a lease that is too long because its end was computed with the clock of the
+// former instance: the answer to a start call came after the restart was seen.
+func TestClockOfTheFormerInstanceIsNotUsed(t *testing.T) {
+	f := newReadyFixture(t)
+	call := f.startInFlight(start("j", 0))
+	f.restartWorker()
+	f.answerRenewalOf(9)
+	f.s.StartDone(f.now, call, StartOK, 900000+f.now.Milliseconds())
+	f.Assert(f.renewedUntil(), qt.Equals, f.now+800*ms)
+}
--- a/runner/state.go
+++ b/runner/state.go
@@ -56,7 +56,7 @@
 	rate               progressRate
 	progressReportedAt time.Duration
 	// leaseLimit is the time beyond which the lease must not be extended because of the
-	// run, see State.leaseLimit.
+	// run, see State.leaseEnd.
 	leaseLimit time.Duration
 	// stopSentAt and stopAckedAt refer to the latest stop call.
 	stopSentAt  time.Duration
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -108,7 +108,9 @@
 // milliseconds; 0 when unknown.
 func (s *State) StartDone(now time.Duration, c StartCall, result StartResult, clock int64) {
 	s.detectSuspension(now)
-	s.updateClock(now, clock)
+	if c.WorkerBorn == s.workerBorn {
+		s.updateClock(now, clock)
+	}
 	r := s.runs[runKey{c.Task, c.Attempt}]
 	if r == nil {
 		if c.WorkerBorn != s.workerBorn && (result == StartOK || result == StartUnanswered) {
