--- a/cmd/sesamelift-soak/main.go
+++ b/cmd/sesamelift-soak/main.go
@@ -24,6 +24,8 @@
 	programs := flags.String("programs", "bin", "directory that holds the programs")
 	dir := flags.String("dir", "run/soak", "directory for the settings and logs of each run")
 	rate := flags.Float64("faults", 1.5, "faults injected per second")
+	entries := flags.Int("entries", 3, "number of entries of each run")
+	agents := flags.Int("agents", 4, "number of agents of each run")
 	lifeRate := flags.Float64("life-faults", 1, "faults in which one life of a process meets the next, injected per second")
 	_ = ff.Parse(flags, os.Args[1:])
 	seedQueue := make(chan uint64, *seeds)
@@ -43,7 +45,7 @@
 			for seed := range seedQueue {
 				var out bytes.Buffer
 				violations, err := soak.Run(soak.Options{
-					Seed: seed, Programs: *programs, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Entries: 3, Agents: 4, FaultsPerSecond: *rate, LifeFaultsPerSecond: *lifeRate, Out: &out,
+					Seed: seed, Programs: *programs, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Entries: *entries, Agents: *agents, FaultsPerSecond: *rate, LifeFaultsPerSecond: *lifeRate, Out: &out,
 				})
 				if err != nil {
 					violations = append(violations, err.Error())
