Discard what a lost agent has not received

Cause: when an agent has been silent for 0.5 s, its entry closes the connection and starts the tasks elsewhere a second later. What was sent before stayed with the operating system: after a cut of 1.3 to 1.6 s the start reached the agent, followed by the end of the connection, and ran until the agent gave the connection up 0.25 s later. Change: entries set the linger time of connections to agents to 0. Test: dispatchd.TestLostConnectionDeliversNothingMore fails before the change.

--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -107,6 +107,10 @@
 	if err != nil {
 		return false, err
 	}
+	if err := link.DropUndelivered(raw); err != nil {
+		_ = raw.Close()
+		return false, err
+	}
 	conn := link.NewConn(raw)
 	defer conn.Close()
 	defer context.AfterFunc(ctx, conn.Close)()
--- a/dispatchd/agents_test.go
+++ b/dispatchd/agents_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -115,3 +117,50 @@
 	c.Assert(<-ended, qt.IsNotNil, qt.Commentf("the connection stays open"))
 	agent.cancel()
 }
+
+// Guards against a task that runs twice: a start that was held up on its way reaches the agent
+// after the entry has given up the connection and started the task elsewhere. What the agent
+// has not received must be discarded with the connection.
+func TestLostConnectionDeliversNothingMore(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	closed := make(chan struct{})
+	ended := make(chan error, 1)
+	go func() {
+		raw, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = raw.Close() }()
+		conn := link.NewConn(raw)
+		var h link.Hello
+		if err := conn.Read(&h); err == nil {
+			_ = conn.Send(&link.Welcome{Protocol: link.Protocol, Agent: "w1"})
+		}
+		// The agent reads nothing until the entry has closed the connection.
+		<-closed
+		_, err = io.Copy(io.Discard, raw)
+		ended <- err
+	}()
+	d.updateAgents(time.Hour, map[string]directory.Member{"w1": {Name: "w1", Role: directory.RoleAgent, Address: l.Addr().String()}})
+	(<-d.events)(time.Hour)
+	a := d.agents["w1"]
+	c.Assert(a.conn, qt.IsNotNil)
+	// More than the buffers of both ends hold.
+	const messages, specBytes = 200, 1 << 16
+	for i := range messages {
+		a.send(time.Hour, &link.Commands{Specs: []link.Spec{{Data: make([]byte, specBytes+i)}}})
+	}
+	time.Sleep(100 * ms)
+	conn := a.conn
+	d.connectionLost(time.Hour, a, nil)
+	conn.Close()
+	time.Sleep(100 * ms)
+	close(closed)
+	err = <-ended
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -71,6 +71,18 @@
 	return &net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
 }
 
+// DropUndelivered makes the end of a connection, also that of its process, discard what
+// the peer has not received. Otherwise the system goes on sending it, and a start that was
+// held up in a partition would reach an agent after the entry has started the task
+// elsewhere.
+func DropUndelivered(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return errors.Errorf("connection of type %T has no linger time", conn)
+	}
+	return errors.Wrap(tcp.SetLinger(0), "set linger time")
+}
+
 // ListenConfig returns a listen configuration with the socket options of Dialer.
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{KeepAlive: -1, Control: setUserTimeout}
