Tell a worker that gives no start time from another instance

Callers could see: nothing at once; an agent that had just started took an announcement of another writer without a start time for its worker's, until the worker announced itself. Cause: the answer of another instance was passed on as the start time 0, which is also that of an announcement without one. Change: whether the worker is the announced instance is passed on by itself. Test: runner.TestAnnouncementWithoutStartTime; the signature it tests is new.

--- a/bench/model/agent.go
+++ b/bench/model/agent.go
@@ -104,7 +104,7 @@
 func (a *agent) announce(now time.Duration, announcement runner.Announcement) {
 	a.post(now, microseconds(a.sim.scenario.Costs.AgentCallUS), func(now time.Duration) {
 		if a.state.WorkerAnnounced(now, announcement) == runner.AnnouncementUnidentified {
-			a.state.WorkerIdentified(now, announcement, announcement.Born)
+			a.state.WorkerIdentified(now, announcement, true, announcement.Born)
 		}
 	})
 }
--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -149,3 +149,16 @@
 	f.s.StartDone(f.now, call, StartOK, 900000+f.now.Milliseconds())
 	f.Assert(f.renewedUntil(), qt.Equals, f.now+800*ms)
 }
+
+// Guards against an announcement of another writer, without a start time, that an agent which
+// has just started takes for its worker's.
+func TestAnnouncementWithoutStartTime(t *testing.T) {
+	f := newFixture(t)
+	f.takeActions()
+	foreign := announcement(0, false)
+	f.Assert(f.s.WorkerAnnounced(f.now, foreign), qt.Equals, AnnouncementUnidentified)
+	f.Assert(f.s.WorkerIdentified(f.now, foreign, false, 0), qt.IsFalse)
+	f.Assert(f.s.worker, qt.IsNil)
+	// A worker that gives no start time is known by its ID alone.
+	f.Assert(f.s.WorkerIdentified(f.now, foreign, true, 0), qt.IsTrue)
+}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -52,7 +52,7 @@
 	case AnnouncementAccepted:
 		return true
 	case AnnouncementUnidentified:
-		return f.s.WorkerIdentified(f.now, a, a.Born)
+		return f.s.WorkerIdentified(f.now, a, true, a.Born)
 	}
 	return false
 }
--- a/runner/state.go
+++ b/runner/state.go
@@ -305,10 +305,10 @@
 }
 
 // WorkerIdentified handles the worker's answer to the question whether it is the instance
-// that an announcement names. born is when the instance that answered started; it is 0 if
-// the worker is another instance. It returns false if the announcement is ignored.
-func (s *State) WorkerIdentified(now time.Duration, a Announcement, born int64) bool {
-	if born != a.Born || born < s.workerBorn {
+// that an announcement names, and if so, when it started. It returns false if the
+// announcement is ignored.
+func (s *State) WorkerIdentified(now time.Duration, a Announcement, isInstance bool, born int64) bool {
+	if !isInstance || born != a.Born || born < s.workerBorn {
 		s.log(decisions.Warn("ignored an announcement of another writer: the worker is not the instance that it names",
 			"life", a.ID, "service", a.Service, "born", a.Born, "worker_born", born, "known_born", s.workerBorn))
 		return false
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -428,28 +428,28 @@
 	if !ok || result != runner.AnnouncementUnidentified {
 		return ok && result == runner.AnnouncementAccepted
 	}
-	born, err := a.identify(ctx, an.ID)
+	isInstance, born, err := a.identify(ctx, an.ID)
 	if err != nil {
 		a.opts.Log.Add(decisions.Warn("an announcement has no effect: the worker does not confirm it", "life", an.ID, "born", an.Born, "error", err.Error()))
 		return false
 	}
-	accepted, ok := await(ctx, a, func(now time.Duration) bool { return a.state.WorkerIdentified(now, an, born) })
+	accepted, ok := await(ctx, a, func(now time.Duration) bool { return a.state.WorkerIdentified(now, an, isInstance, born) })
 	return ok && accepted
 }
 
 // identify asks the worker whether it is the instance id until it has answered, at most
-// for identifyTimeout. It returns 0 if the worker is another instance.
-func (a *Agent) identify(ctx context.Context, id string) (born int64, err error) {
+// for identifyTimeout.
+func (a *Agent) identify(ctx context.Context, id string) (isInstance bool, born int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	for {
 		calledAt := time.Now()
 		born, err = a.opts.Worker.Identify(ctx, id)
 		if errors.Is(err, ErrOtherInstance) {
-			return 0, nil
+			return false, 0, nil
 		}
 		if err == nil || ctx.Err() != nil {
-			return born, err
+			return err == nil, born, err
 		}
 		waitForRetry(calledAt)
 	}
