Keep the logs of a soak that fails, and say when the stand-in was late

Its logs were gone, and nothing said whether the stand-in of the workers, which is starved with the rest, had ended its runs within the 50 ms that the platform guarantees. Change: the soak prints when a worker of the stand-in was late, with the time, and a violation its time; a failed test keeps the logs of the processes. No check is changed.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -82,6 +82,9 @@
 			d.violation("%d runs still active on the worker of %s after the last answer", n, p.name)
 		}
 	}
+	for _, delay := range d.audit.Delays() {
+		fmt.Fprintf(o.Out, "seed %d: worker %s\n", o.Seed, delay)
+	}
 	fmt.Fprintf(o.Out, "seed %d: %d of %d jobs completed\n", o.Seed, o.completed, o.sent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -34,8 +35,17 @@
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
 			var log strings.Builder
+			dir, err := os.MkdirTemp("", fmt.Sprintf("sesamelift-soak-%d-", r.seed))
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("the logs of the processes are kept in %s", dir)
+					return
+				}
+				_ = os.RemoveAll(dir)
+			})
 			violations, err := Run(Options{
-				Seed: r.seed, Programs: programs, Dir: t.TempDir(), Entries: 2, Agents: 3, FaultsPerSecond: 1.5, LifeFaultsPerSecond: r.lifeFaults, Out: &log,
+				Seed: r.seed, Programs: programs, Dir: dir, Entries: 2, Agents: 3, FaultsPerSecond: 1.5, LifeFaultsPerSecond: r.lifeFaults, Out: &log,
 			})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, violations, qt.HasLen, 0, qt.Commentf("%s%s", r.cause, log.String()))
--- a/standin/site/audit.go
+++ b/standin/site/audit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Audit records the runs of all workers of a test and the violations of the
@@ -13,6 +14,8 @@
 	running    map[string]string
 	starts     map[string]int
 	violations []string
+	// delays describe when a worker was late itself.
+	delays []string
 }
 
 // NewAudit returns an empty Audit.
@@ -24,7 +27,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if other, ok := a.running[task]; ok {
-		a.violations = append(a.violations, fmt.Sprintf("task %s runs on %s and %s at the same time", task, other, worker))
+		a.violations = append(a.violations, fmt.Sprintf("%s task %s runs on %s and %s at the same time", time.Now().UTC().Format("05.000"), task, other, worker))
 	}
 	a.running[task] = worker
 	a.starts[task]++
@@ -44,6 +47,21 @@
 	a.violations = append(a.violations, fmt.Sprintf(format, args...))
 }
 
+// delayed records that a worker was late by d in ending runs. Violations at about that time
+// may be due to the worker.
+func (a *Audit) delayed(worker string, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.delays = append(a.delays, fmt.Sprintf("%s %s was late by %v", time.Now().UTC().Format("05.000"), worker, d.Round(time.Millisecond)))
+}
+
+// Delays returns a description of each time at which a worker was late itself.
+func (a *Audit) Delays() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string{}, a.delays...)
+}
+
 // Violations returns a description of each violation so far.
 func (a *Audit) Violations() []string {
 	a.mu.Lock()
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -18,6 +18,9 @@
 	// advanceInterval is the time between two calls of advance, which updates the
 	// progress of the runs and checks the lease.
 	advanceInterval = 5 * time.Millisecond
+	// maxDelay is how late the worker may be in ending a run: it is allowed 50 ms to stop
+	// one.
+	maxDelay = 50*time.Millisecond - stopDelay - advanceInterval
 	// announceTimeout limits the duration of an announcement.
 	announceTimeout = time.Second
 )
@@ -158,7 +161,11 @@
 		case <-ctx.Done():
 			w.Crash()
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			if delay := now.Sub(last) - advanceInterval; delay > maxDelay {
+				w.options.Audit.delayed(w.options.ID, delay)
+			}
 			w.advance(now, now.Sub(last))
 			last = now
 		}
