Serve the store of a soak only once its deployment is complete

Cause: newDeployment served the store first and then appended to d.agents, which the server's goroutines read in rewriteMember. Nothing but the request of a process lies between the two, and the race detector doesn't see order through other processes. A test goroutine that was held up before it started the workers left no synchronization in between. Change: the store is served when the deployment is complete; processes and workers are started by methods of their own, so that a test can pause between the two.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -85,8 +85,8 @@
 	d.violations = append(d.violations, fmt.Sprintf(format, args...))
 }
 
-// newDeployment starts entries, agents and workers without waiting until they
-// serve.
+// newDeployment prepares entries and agents, and serves the store. startProcesses and
+// startWorkers start the rest.
 func newDeployment(dir, programs string, entries, agents int) (*deployment, error) {
 	d := &deployment{dir: dir, store: store.New(), audit: site.NewAudit(), storeProxies: map[string]*tcpProxy{}, version: 10}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -95,7 +95,6 @@
 	}
 	d.store.Rewrite = d.rewriteMember
 	d.storeServer = &http.Server{Handler: d.store}
-	go func() { _ = d.storeServer.Serve(l) }()
 	d.publishConfig()
 	var seedAddrs []string
 	for n := range entries + agents {
@@ -114,13 +113,24 @@
 			seedAddrs = append(seedAddrs, fmt.Sprintf("%q", p.controlAddr))
 		}
 	}
+	// The goroutines of the store's server read d.agents, which must be complete before
+	// they start.
+	go func() { _ = d.storeServer.Serve(l) }()
+	return d, nil
+}
+
+// startProcesses starts the entries and agents without waiting until they serve.
+func (d *deployment) startProcesses() {
 	for _, p := range append(append([]*process{}, d.agents...), d.entries...) {
 		go d.supervise(p)
 	}
+}
+
+// startWorkers starts a worker for each agent.
+func (d *deployment) startWorkers() {
 	for i, p := range d.agents {
 		d.startWorker(p, d.newWorkerID(p), []float64{1.2, 0.55, 1, 1.2}[i%4])
 	}
-	return d, nil
 }
 
 // portCounter counts the ports that freePort has tried.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,8 @@
 		return nil, err
 	}
 	defer d.close()
+	d.startProcesses()
+	d.startWorkers()
 	if !d.waitAllServing(startTimeout) {
 		return []string{"not every entry serves within the start timeout"}, nil
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -24,13 +25,33 @@
 	{1, 0, "no failure known; fixed baseline seed"},
 }
 
+// buildPrograms builds the entry and the agent and returns the directory of the executables.
+func buildPrograms(t *testing.T) string {
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../cmd/sesamelift-platform-entry", "../cmd/sesamelift-platform-agent").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return dir
+}
+
+// Guards against a race of the deployment's own: processes that read the store before the
+// workers start must not meet a list of agents that is still written. Nothing but the race
+// detector sees it, so the test must not synchronize with the store while it waits.
+func TestProcessesReadTheStoreBeforeTheWorkersStart(t *testing.T) {
+	d, err := newDeployment(t.TempDir(), buildPrograms(t), 1, 1)
+	qt.Assert(t, err, qt.IsNil)
+	defer d.close()
+	d.startProcesses()
+	time.Sleep(500 * time.Millisecond)
+	d.startWorkers()
+	qt.Assert(t, d.waitAllServing(startTimeout), qt.IsTrue)
+	qt.Assert(t, d.store.Counts().Reads > 0, qt.IsTrue)
+}
+
 // Guards against a violation of the product's guarantees that only a combination of
 // faults causes, for example a task that runs on two workers at the same time or a
 // job that runs although it was refused.
 func TestSoak(t *testing.T) {
-	programs := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", programs+"/", "../cmd/sesamelift-platform-entry", "../cmd/sesamelift-platform-agent").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	programs := buildPrograms(t)
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
