Accept no job whose caller has gone before it was read

The connection of a caller was reset; its job ran at the entry that it had sent it to and at a second one at the same time, for 28 to 43 ms. Cause: what had arrived before a reset can still be read. The server learns of the reset only when it tries to read beyond the request, so a request that waited in the entry (a late goroutine, or up to 1.5 s for the configuration after a start) was accepted after its caller had turned to another entry. Change: right before it accepts a job, the event loop asks the system whether the caller's connection has been closed or reset, and refuses the job if so.

--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -361,23 +361,30 @@
 }
 
 // Submit runs a job and returns its verdict. If ctx ends first, the caller has
-// disconnected and the job is cancelled, unless another caller waits for it.
-func (d *Dispatcher) Submit(ctx context.Context, job dispatch.Job) *api.Verdict {
+// disconnected and the job is cancelled, unless another caller waits for it. callerGone
+// reports whether that has happened although ctx may not have ended yet; the event loop
+// calls it before it accepts the job, because the caller may have sent the job to another
+// entry by then.
+func (d *Dispatcher) Submit(ctx context.Context, job dispatch.Job, callerGone func() bool) *api.Verdict {
 	// The call is counted before it reads refusing, so that drain either waits
 	// for the job or the job is refused.
 	d.submissions.Add(1)
 	defer d.submissions.Add(-1)
-	v := d.submit(ctx, job)
+	v := d.submit(ctx, job, callerGone)
 	d.metrics.recordAnswer(v, clock.SinceBoot()-job.ReceivedAt)
 	return v
 }
 
-func (d *Dispatcher) submit(ctx context.Context, job dispatch.Job) *api.Verdict {
+func (d *Dispatcher) submit(ctx context.Context, job dispatch.Job, callerGone func() bool) *api.Verdict {
 	if d.refusing.Load() {
 		return d.refuse(job, api.ReasonDraining, "the entry is ending")
 	}
 	answer := make(chan *api.Verdict, 1)
 	event := func(now time.Duration) {
+		if callerGone() {
+			answer <- d.refuse(job, api.ReasonCancelled, "the caller has gone before the job was accepted")
+			return
+		}
 		if v := d.scheduler.Submit(now, job); v != nil {
 			answer <- v
 			return
--- a/host/entry.go
+++ b/host/entry.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	callerServer.ConnContext = platform.WithCallerConnection
 	if _, err := p.addServer("readiness", s.ReadyAddress, platform.ReadyHandler(d)); err != nil {
 		return err
 	}
--- a/host/path_test.go
+++ b/host/path_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -168,6 +170,46 @@
 	d.store.SetFaults(store.Faults{})
 }
 
+// Load pattern: callers lose their connections while an entry that has just started still
+// waits for the configuration. Guards against jobs that are read and started after their
+// callers have gone and may have sent them to another entry.
+func TestJobsOfCallersThatHaveGoneAreNotAccepted(t *testing.T) {
+	const callers = 20
+	d := newDeployment(t)
+	d.store.SetFaults(store.Faults{Silent: true})
+	e := d.startEntry("e1")
+	d.startAgent("a1", 1)
+	for n := range callers {
+		var conn net.Conn
+		d.eventually("the entry listens", time.Second, func() (connected bool) {
+			var err error
+			conn, err = net.Dial("tcp", e.settings.CallerAddress)
+			return err == nil
+		})
+		body := jobBody(1, site.Spec{WorkMS: 50, MilliCPU: 100})
+		_, err := fmt.Fprintf(conn, "POST /jobs/%s HTTP/1.1\r\nHost: jobs.example\r\nDeadline-Ms: 2400\r\nContent-Length: %d\r\n\r\n%s", jobID(n), len(body), body)
+		d.Assert(err, qt.IsNil)
+		if n%2 == 0 {
+			// Without linger time, the connection is reset.
+			d.Assert(conn.(*net.TCPConn).SetLinger(0), qt.IsNil)
+		}
+		// The entry has received the request by the time that it learns of the end.
+		time.Sleep(5 * time.Millisecond)
+		d.Assert(conn.Close(), qt.IsNil)
+	}
+	d.store.SetFaults(store.Faults{})
+	d.waitUntilServing(e)
+	// The prefix is that of jobs 0 to 19, and of none that waitUntilServing submits.
+	logged := func(message string) []string { return d.log.lines(message, `"job":"00000000000000`) }
+	d.eventually("every job is accepted or refused", time.Second, func() bool {
+		return len(logged(`"msg":"job accepted"`))+len(logged(`"msg":"job refused"`)) >= callers
+	})
+	for n := range callers {
+		d.Assert(d.log.lines(`"msg":"job accepted"`, jobID(n)), qt.HasLen, 0)
+		d.Assert(d.audit.Starts(jobID(n)), qt.Equals, 0)
+	}
+}
+
 // Guards against an agent that entries do not find because the store takes no rows.
 func TestAgentAnnouncesItselfWithoutTheStore(t *testing.T) {
 	d := newDeployment(t)
