Make no start that an entry sent on a connection it has ended since

If the loop is behind by more than the 986 ms that the entry waits after the loss, the task may run elsewhere by then. Change: starts are dropped, with a log line, if their connection has ended by the time that they are handled. An entry treats them as lost with the connection in any case.

--- a/link/peer.go
+++ b/link/peer.go
@@ -28,3 +28,10 @@
 	})
 	return err != nil || gone
 }
+
+// PeerGone reports whether the peer has closed or reset the connection, or whether it is
+// closed at this end.
+func (c *Conn) PeerGone() bool {
+	conn, ok := c.conn.(syscall.Conn)
+	return ok && PeerGone(conn)
+}
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -403,7 +403,15 @@
 			})
 			return
 		}
-		a.enqueue(func(now time.Duration) { a.state.HandleCommands(now, connID, &c) })
+		a.enqueue(func(now time.Duration) {
+			// The messages of a connection that has ended are handled before its end. Once
+			// the entry has lost the connection, it starts the tasks elsewhere.
+			if len(c.Starts) > 0 && conn.PeerGone() {
+				a.opts.Log.Add(decisions.Warn("starts dropped: their entry has ended the connection", "starts", len(c.Starts)))
+				c.Starts = nil
+			}
+			a.state.HandleCommands(now, connID, &c)
+		})
 	}
 }
 
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamelift/sesamelift/clock"
+	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/link"
 	"github.com/sesamelift/sesamelift/runner"
+	"github.com/sesamelift/sesamelift/timing"
 )
 
 // scriptedWorker returns the given outcomes of start calls in order.
@@ -98,3 +106,77 @@
 	defer w.afterCall()
 	return w.scriptedWorker.Start(ctx, c)
 }
+
+// idleWorker is a worker without runs that accepts every start and counts them.
+type idleWorker struct {
+	scriptedWorker
+	born   int64
+	starts atomic.Int64
+}
+
+func (w *idleWorker) Start(context.Context, runner.StartCall) (runner.StartResult, int64) {
+	w.starts.Add(1)
+	return runner.StartOK, 5
+}
+
+func (w *idleWorker) Identify(context.Context, string) (int64, error) { return w.born, nil }
+
+func (w *idleWorker) Renew(context.Context, runner.RenewCall) (*runner.RenewReply, error) {
+	return &runner.RenewReply{Clock: 5, Born: w.born}, nil
+}
+
+// Guards against a start that a busy agent makes after its entry has ended the connection:
+// the entry may have started the task elsewhere by then.
+func TestStartOfAnEndedConnectionIsNotMade(t *testing.T) {
+	for name, reset := range map[string]bool{"connection open": false, "connection reset": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			worker := &idleWorker{born: 7}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			a, err := New(Options{
+				Name: "a1", Incarnation: 1, LinkAddress: "127.0.0.1:0", MaxStopTime: 50 * time.Millisecond, Worker: worker,
+				Timings:           timing.Timings{Lease: 800 * time.Millisecond, SilenceTimeout: 500 * time.Millisecond, ReconnectGrace: 250 * time.Millisecond},
+				StoreAnnouncement: func(runner.Announcement) {}, Log: decisions.New(logrus.NewEntry(log)), Metrics: tally.NoopScope,
+			})
+			c.Assert(err, qt.IsNil)
+			ctx, stop := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { a.Run(ctx); close(done) }()
+			defer func() { stop(); <-done }()
+			c.Assert(a.WorkerAnnounced(ctx, runner.Announcement{
+				ID: "w1", Born: 7, Sequence: 1, Service: "s", Capacity: link.Resources{MilliCPU: 4000, MemoryMB: 1000},
+			}), qt.IsTrue)
+
+			tcp, err := net.Dial("tcp", a.Addr())
+			c.Assert(err, qt.IsNil)
+			c.Assert(link.DropUndelivered(tcp), qt.IsNil)
+			entry := link.NewConn(tcp)
+			defer entry.Close()
+			c.Assert(entry.Send(&link.Hello{Protocol: link.Protocol, Entry: "e1", Incarnation: 1}), qt.IsNil)
+			c.Assert(entry.Read(&link.Welcome{}), qt.IsNil)
+			c.Assert(entry.Read(&link.Report{}), qt.IsNil)
+
+			busy := make(chan struct{})
+			a.enqueue(func(time.Duration) { <-busy })
+			c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{{
+				Task: link.TaskID{Job: "j"}, Attempt: 1, Need: link.Resources{MilliCPU: 100}, EstimateMS: 50, DueMS: 100,
+			}}}), qt.IsNil)
+			for len(a.events) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			// The agent handles the end of the connection in a later batch of events.
+			for range maxEventBatch {
+				a.enqueue(func(time.Duration) {})
+			}
+			if reset {
+				entry.Close()
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(busy)
+			_, _ = await(ctx, a, func(time.Duration) bool { return true })
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(worker.starts.Load() > 0, qt.Equals, !reset)
+		})
+	}
+}
