Tell entries of a worker that comes back as another kind under its ID

Cause: an agent reported its worker's service, zone, labels and capacity to an entry only when the worker's ID differed from the one reported last. Starts didn't say for which worker they were placed, so that those on their way were made at the new one as well. The announcement that a restarted agent restores was stored by ID, too. Change: the agent numbers the states of its worker (Revision); a new instance or any changed field makes a new one, which is reported to every entry at once and stored. A start names the revision for which it was placed, and the agent refuses it if that isn't the current one. An entry places tasks anew whose starts have not been sent when the worker changes. The fixture of the runner tests names the current revision in its starts.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -102,6 +102,7 @@
 	}
 	if r.Worker != nil {
 		w.state = *r.Worker
+		s.replaceUnsentStarts(now, w)
 		s.byActivation = nil
 		s.log(decisions.Info("worker state received", "worker", name, "life", w.state.ID, "service", w.state.Service,
 			"milli_cpu", w.state.Capacity.MilliCPU, "accepting", r.Accepting))
@@ -122,6 +123,18 @@
 	s.workersChanged()
 }
 
+// replaceUnsentStarts makes the tasks ready again that were placed on a worker, for which it
+// may not be fit any more, and whose starts have not been sent.
+func (s *Scheduler) replaceUnsentStarts(now time.Duration, w *worker) {
+	for _, t := range w.sortedTasks() {
+		if t.phase == starting && s.withdrawStart(t) {
+			w.unconfirmed = w.unconfirmed.Sub(t.step().Need)
+			t.attempt--
+			s.requeue(now, t)
+		}
+	}
+}
+
 // clamp returns a reported value within its limits. The lower one also replaces a value
 // that is not a number.
 func clamp(reported float32, low, high float64) float64 {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -286,7 +286,7 @@
 	c := s.command(w)
 	c.Starts = append(c.Starts, link.Start{
 		Task: t.id, Attempt: t.attempt, Need: need, EstimateMS: t.step().Estimate.Milliseconds(),
-		DueMS: (t.job.dueAt - now).Milliseconds(), Spec: t.job.Spec,
+		DueMS: (t.job.dueAt - now).Milliseconds(), Spec: t.job.Spec, WorkerRevision: w.state.Revision,
 	})
 }
 
--- a/link/messages.go
+++ b/link/messages.go
@@ -9,7 +9,7 @@
 
 // Protocol is the version of the message set. A process rejects connections from
 // a peer with a different version.
-const Protocol uint16 = 3
+const Protocol uint16 = 4
 
 // Hello is the first message of a connection. The entry sends it.
 type Hello struct {
@@ -56,6 +56,9 @@
 	Need    Resources
 	// EstimateMS is the declared run time of the task, in milliseconds.
 	EstimateMS int64
+	// WorkerRevision is that of the WorkerState for which the task was placed. The agent
+	// refuses the start if the worker is another one now.
+	WorkerRevision uint64
 	// DueMS is the time that is left until the task must be done for its job to be on
 	// time, in milliseconds. It is negative if the job is late already.
 	DueMS int64
@@ -178,8 +181,13 @@
 
 // WorkerState describes the worker of an agent.
 type WorkerState struct {
-	// ID identifies the worker instance and changes when the worker restarts.
+	// Revision is a number that the agent increases whenever its worker restarts or
+	// changes in one of the other fields. It starts anew with the agent's process, and is
+	// valid on one connection.
+	Revision uint64
+	// ID and Born identify the worker instance. A worker may restart under its ID.
 	ID       string
+	Born     int64
 	Service  string
 	Zone     string
 	Capacity Resources
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -868,8 +868,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Start) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Task.Job)
@@ -882,6 +882,7 @@
 	o = msgp.AppendInt64(o, z.Need.MemoryMB)
 	o = msgp.AppendInt64(o, z.Need.GPU)
 	o = msgp.AppendInt64(o, z.EstimateMS)
+	o = msgp.AppendUint64(o, z.WorkerRevision)
 	o = msgp.AppendInt64(o, z.DueMS)
 	o = msgp.AppendUint16(o, z.SpecIndex)
 	return
@@ -895,8 +896,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -959,6 +960,11 @@
 		err = msgp.WrapError(err, "EstimateMS")
 		return
 	}
+	z.WorkerRevision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WorkerRevision")
+		return
+	}
 	z.DueMS, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "DueMS")
@@ -975,7 +981,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Start) Msgsize() (s int) {
-	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint16Size
+	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Uint16Size
 	return
 }
 
@@ -1216,9 +1222,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendUint64(o, z.Revision)
 	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendInt64(o, z.Born)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Zone)
 	// array header, size 3
@@ -1241,8 +1249,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -1250,6 +1263,11 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -1313,7 +1331,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerState) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Zone) + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Zone) + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0001])
 	}
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -144,7 +144,9 @@
 func (s *State) handleStart(now time.Duration, id ConnID, conn *entryConn, c *link.Start) {
 	k := runKey{c.Task, c.Attempt}
 	leaseEnd := s.leaseEnd(now)
-	if !s.accepting() || leaseEnd < now+s.opts.Lease/2 {
+	// A worker that has restarted or changed since may be of another kind: only the agent
+	// always knows.
+	if !s.accepting() || c.WorkerRevision != s.workerRevision || leaseEnd < now+s.opts.Lease/2 {
 		s.answer(conn, k, link.Refused)
 		return
 	}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -95,7 +95,15 @@
 	f.s.Renewed(f.now, f.now-ms, &RenewReply{Clock: 5000 + f.now.Milliseconds(), Born: 7, Running: running, Ended: ended})
 }
 
+// sendCommands sends commands of an entry, which has received all reports.
 func (f *fixture) sendCommands(conn ConnID, c *link.Commands) {
+	for i := range c.Starts {
+		c.Starts[i].WorkerRevision = f.s.workerRevision
+	}
+	f.handleCommands(conn, c)
+}
+
+func (f *fixture) handleCommands(conn ConnID, c *link.Commands) {
 	f.s.HandleCommands(f.now, conn, c)
 	f.takeActions()
 }
--- a/runner/state.go
+++ b/runner/state.go
@@ -115,7 +115,7 @@
 	reportedFree      link.Resources
 	reportedAccepting bool
 	reportedSpeed     float64
-	reportedWorker    string
+	reportedRevision  uint64
 	// reportDue requests a report even if pending is nil.
 	reportDue bool
 }
@@ -150,6 +150,8 @@
 	clockKnown  bool
 	// workerBorn is the Born of the current worker instance; 0 when unknown.
 	workerBorn int64
+	// workerRevision is as in link.WorkerState; 0 before the first announcement.
+	workerRevision uint64
 	// listed is true once the worker has listed its runs.
 	listed bool
 	// unreadableRows is RenewReply.Unreadable of the last reply.
@@ -322,7 +324,11 @@
 
 // setWorker puts an announcement into effect.
 func (s *State) setWorker(now time.Duration, a Announcement) {
-	if s.worker == nil || s.worker.ID != a.ID || s.worker.Draining != a.Draining {
+	changed := s.worker == nil || !s.worker.sameKind(&a)
+	if changed {
+		s.workerRevision++
+	}
+	if changed || s.worker.Draining != a.Draining {
 		s.actions.Worker = &a
 		s.log(decisions.Info("worker announced", "life", a.ID, "service", a.Service, "milli_cpu", a.Capacity.MilliCPU,
 			"draining", a.Draining, "leaves_in_ms", a.Leaves.Milliseconds()))
@@ -348,6 +354,7 @@
 		return
 	}
 	s.worker, s.restored = r, nil
+	s.workerRevision++
 	s.log(decisions.Info("stored worker announcement restored", "life", r.ID, "born", r.Born, "milli_cpu", r.Capacity.MilliCPU, "draining", r.Draining))
 }
 
@@ -430,9 +437,11 @@
 	rep := s.pendingReport(conn)
 	rep.Sequence, rep.Accepting, rep.Free = conn.sequence, s.accepting(), s.offeredCapacity(now)
 	rep.Speed, rep.FailureRate = float32(s.speed.speed()), float32(s.failureRate(now))
-	if w := s.worker; w != nil && w.ID != conn.reportedWorker {
-		rep.Worker = &link.WorkerState{ID: w.ID, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Labels: w.Labels}
-		conn.reportedWorker = w.ID
+	if w := s.worker; w != nil && s.workerRevision != conn.reportedRevision {
+		rep.Worker = &link.WorkerState{
+			Revision: s.workerRevision, ID: w.ID, Born: w.Born, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Labels: w.Labels,
+		}
+		conn.reportedRevision = s.workerRevision
 	}
 	conn.reportedAt, conn.reportedFree, conn.reportedAccepting, conn.reportedSpeed = now, rep.Free, rep.Accepting, s.speed.speed()
 	conn.pending, conn.reportDue = nil, false
@@ -454,7 +463,7 @@
 	}
 	reportInterval := max(minReportInterval, time.Duration(active)*reportIntervalPerEntry)
 	for _, conn := range s.connsByID {
-		workerChanged := s.worker != nil && s.worker.ID != conn.reportedWorker
+		workerChanged := s.worker != nil && s.workerRevision != conn.reportedRevision
 		if workerChanged || accepting != conn.reportedAccepting {
 			conn.reportDue = true
 			continue
--- a/runner/types.go
+++ b/runner/types.go
@@ -17,6 +17,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,13 @@
 	Leaves time.Duration
 }
 
+// sameKind reports whether a and b are of the same worker instance, which offers the same
+// to the same tasks.
+func (a *Announcement) sameKind(b *Announcement) bool {
+	return a.ID == b.ID && a.Born == b.Born && a.Service == b.Service && a.Zone == b.Zone && a.Capacity == b.Capacity &&
+		slices.Equal(a.Labels, b.Labels)
+}
+
 // Upper bounds of the resources of a worker, far above any real one. Sums over
 // thousands of workers stay within 64 bits.
 const (
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -155,12 +155,16 @@
 			defer entry.Close()
 			c.Assert(entry.Send(&link.Hello{Protocol: link.Protocol, Entry: "e1", Incarnation: 1}), qt.IsNil)
 			c.Assert(entry.Read(&link.Welcome{}), qt.IsNil)
-			c.Assert(entry.Read(&link.Report{}), qt.IsNil)
+			var report link.Report
+			for report.Worker == nil {
+				c.Assert(entry.Read(&report), qt.IsNil)
+			}
 
 			busy := make(chan struct{})
 			a.enqueue(func(time.Duration) { <-busy })
 			c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{{
 				Task: link.TaskID{Job: "j"}, Attempt: 1, Need: link.Resources{MilliCPU: 100}, EstimateMS: 50, DueMS: 100,
+				WorkerRevision: report.Worker.Revision,
 			}}}), qt.IsNil)
 			for len(a.events) == 0 {
 				time.Sleep(time.Millisecond)
