Give each event of a batch its own time

Cause: the event loops of agent and entry took the start of a batch for the time of all its events. An agent that handled a batch for some milliseconds noted a start that was answered meanwhile as confirmed at the beginning of the batch. A list of runs that had been requested after that, but before the worker began the run, then counted as newer than the run, which wasn't in it: the run counted as ended. Change: both loops read the clock for each event. In the entry, the wait after the loss of a connection could begin before the loss by the length of a batch. The line about a missing run says how long ago the run was confirmed and the list requested. Result: runnerd.TestListRequestedBeforeAStartDuringABatch and dispatchd.TestEventsOfABatchHaveTheirOwnTime fail before and hold now.

--- a/bench/model/engine.go
+++ b/bench/model/engine.go
@@ -153,7 +153,7 @@
 	epoch := p.epoch
 	for _, w := range batch {
 		p.spend(w.cost)
-		w.do(now)
+		w.do(p.clock)
 		if p.epoch != epoch {
 			return
 		}
--- a/dispatchd/agents_test.go
+++ b/dispatchd/agents_test.go
@@ -1,6 +1,7 @@
 package dispatchd
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
 	"github.com/sesamelift/sesamelift/dispatch"
@@ -164,3 +166,22 @@
 	err = <-ended
 	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// Guards against a wait after the loss of a connection that begins before the loss,
+// because the event loop takes the start of a batch for the time of each of its events.
+func TestEventsOfABatchHaveTheirOwnTime(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	ctx, stop := context.WithCancel(context.Background())
+	go d.eventLoop(ctx)
+	defer func() { stop(); <-d.stopped }()
+	handling, busy := make(chan struct{}), make(chan struct{})
+	d.post(func(time.Duration) { close(handling); <-busy })
+	<-handling
+	time.Sleep(5 * time.Millisecond)
+	happenedAt := clock.SinceBoot()
+	handledAt := make(chan time.Duration, 1)
+	d.post(func(now time.Duration) { handledAt <- now })
+	close(busy)
+	c.Assert(<-handledAt >= happenedAt, qt.IsTrue)
+}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -237,10 +237,11 @@
 			d.shutdown()
 			return
 		case event := <-d.events:
-			now := d.checkSuspension()
-			event(now)
+			event(d.checkSuspension())
 			for n := 0; n < maxEventBatch && len(d.events) > 0; n++ {
-				(<-d.events)(now)
+				// Each event gets its own time: the wait after the loss of a connection
+				// must not begin before the loss.
+				(<-d.events)(d.checkSuspension())
 			}
 		case <-ticker.C:
 			now := d.checkSuspension()
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -372,7 +372,8 @@
 		case r.phase == stopping:
 			// The worker may still be stopping the run.
 		case complete && r.confirmedAt > 0 && r.confirmedAt < sentAt:
-			s.log(decisions.Warn("run is missing from the worker's list", "job", k.task.Job, "step", k.task.Step, "task", k.task.Index, "attempt", k.attempt))
+			s.log(decisions.Warn("run is missing from the worker's list", "job", k.task.Job, "step", k.task.Step, "task", k.task.Index, "attempt", k.attempt,
+				"confirmed_ms_ago", (now - r.confirmedAt).Milliseconds(), "requested_ms_ago", (now - sentAt).Milliseconds()))
 			s.end(now, r, link.WorkerLost)
 		}
 	}
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -200,10 +200,12 @@
 			}
 			return
 		case event := <-a.events:
-			now := clock.SinceBoot()
-			event(now)
+			event(clock.SinceBoot())
 			for n := 0; n < maxEventBatch && len(a.events) > 0; n++ {
-				(<-a.events)(now)
+				// Each event gets its own time: an answer counts from when it was handled,
+				// not from the start of the batch. Otherwise a list of runs that was
+				// requested in between would seem to be newer than a start that it preceded.
+				(<-a.events)(clock.SinceBoot())
 			}
 		case <-ticker.C:
 			a.state.Tick(clock.SinceBoot())
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -125,6 +125,49 @@
 	return &runner.RenewReply{Clock: 5, Born: w.born}, nil
 }
 
+// startTestAgent runs an agent, whose worker has announced itself, until the test ends.
+func startTestAgent(c *qt.C, worker WorkerClient) *Agent {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a, err := New(Options{
+		Name: "a1", Incarnation: 1, LinkAddress: "127.0.0.1:0", MaxStopTime: 50 * time.Millisecond, Worker: worker,
+		Timings:           timing.Timings{Lease: 800 * time.Millisecond, SilenceTimeout: 500 * time.Millisecond, ReconnectGrace: 250 * time.Millisecond},
+		StoreAnnouncement: func(runner.Announcement) {}, Log: decisions.New(logrus.NewEntry(log)), Metrics: tally.NoopScope,
+	})
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { a.Run(ctx); close(done) }()
+	c.Cleanup(func() { stop(); <-done })
+	c.Assert(a.WorkerAnnounced(ctx, runner.Announcement{
+		ID: "w1", Born: 7, Sequence: 1, Service: "s", Capacity: link.Resources{MilliCPU: 4000, MemoryMB: 1000},
+	}), qt.IsTrue)
+	return a
+}
+
+// connectEntry connects an entry to an agent and returns the state of the worker that the
+// agent reports to it.
+func connectEntry(c *qt.C, a *Agent) (*link.Conn, *link.WorkerState) {
+	tcp, err := net.Dial("tcp", a.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Assert(link.DropUndelivered(tcp), qt.IsNil)
+	entry := link.NewConn(tcp)
+	c.Cleanup(entry.Close)
+	c.Assert(entry.Send(&link.Hello{Protocol: link.Protocol, Entry: "e1", Incarnation: 1}), qt.IsNil)
+	c.Assert(entry.Read(&link.Welcome{}), qt.IsNil)
+	var report link.Report
+	for report.Worker == nil {
+		c.Assert(entry.Read(&report), qt.IsNil)
+	}
+	return entry, report.Worker
+}
+
+func testStart(worker *link.WorkerState) link.Start {
+	return link.Start{
+		Task: link.TaskID{Job: "j"}, Attempt: 1, Need: link.Resources{MilliCPU: 100}, EstimateMS: 50, DueMS: 100, WorkerRevision: worker.Revision,
+	}
+}
+
 // Guards against a start that a busy agent makes after its entry has ended the connection:
 // the entry may have started the task elsewhere by then.
 func TestStartOfAnEndedConnectionIsNotMade(t *testing.T) {
@@ -132,40 +175,11 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			worker := &idleWorker{born: 7}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			a, err := New(Options{
-				Name: "a1", Incarnation: 1, LinkAddress: "127.0.0.1:0", MaxStopTime: 50 * time.Millisecond, Worker: worker,
-				Timings:           timing.Timings{Lease: 800 * time.Millisecond, SilenceTimeout: 500 * time.Millisecond, ReconnectGrace: 250 * time.Millisecond},
-				StoreAnnouncement: func(runner.Announcement) {}, Log: decisions.New(logrus.NewEntry(log)), Metrics: tally.NoopScope,
-			})
-			c.Assert(err, qt.IsNil)
-			ctx, stop := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { a.Run(ctx); close(done) }()
-			defer func() { stop(); <-done }()
-			c.Assert(a.WorkerAnnounced(ctx, runner.Announcement{
-				ID: "w1", Born: 7, Sequence: 1, Service: "s", Capacity: link.Resources{MilliCPU: 4000, MemoryMB: 1000},
-			}), qt.IsTrue)
-
-			tcp, err := net.Dial("tcp", a.Addr())
-			c.Assert(err, qt.IsNil)
-			c.Assert(link.DropUndelivered(tcp), qt.IsNil)
-			entry := link.NewConn(tcp)
-			defer entry.Close()
-			c.Assert(entry.Send(&link.Hello{Protocol: link.Protocol, Entry: "e1", Incarnation: 1}), qt.IsNil)
-			c.Assert(entry.Read(&link.Welcome{}), qt.IsNil)
-			var report link.Report
-			for report.Worker == nil {
-				c.Assert(entry.Read(&report), qt.IsNil)
-			}
-
+			a := startTestAgent(c, worker)
+			entry, state := connectEntry(c, a)
 			busy := make(chan struct{})
 			a.enqueue(func(time.Duration) { <-busy })
-			c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{{
-				Task: link.TaskID{Job: "j"}, Attempt: 1, Need: link.Resources{MilliCPU: 100}, EstimateMS: 50, DueMS: 100,
-				WorkerRevision: report.Worker.Revision,
-			}}}), qt.IsNil)
+			c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{testStart(state)}}), qt.IsNil)
 			for len(a.events) == 0 {
 				time.Sleep(time.Millisecond)
 			}
@@ -178,9 +192,48 @@
 			}
 			time.Sleep(20 * time.Millisecond)
 			close(busy)
-			_, _ = await(ctx, a, func(time.Duration) bool { return true })
+			_, _ = await(context.Background(), a, func(time.Duration) bool { return true })
 			time.Sleep(100 * time.Millisecond)
 			c.Assert(worker.starts.Load() > 0, qt.Equals, !reset)
 		})
 	}
 }
+
+// Guards against a task that runs twice because a run is taken for ended: the start call
+// is answered while the event loop handles a batch of events, and a list of runs that was
+// requested in that time, before the start, doesn't have the run.
+func TestListRequestedBeforeAStartDuringABatch(t *testing.T) {
+	c := qt.New(t)
+	worker := &blockingWorker{idleWorker: idleWorker{born: 7}, calls: make(chan runner.StartCall, 1), release: make(chan struct{})}
+	a := startTestAgent(c, worker)
+	c.Cleanup(func() { close(worker.release) })
+	entry, state := connectEntry(c, a)
+	c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{testStart(state)}}), qt.IsNil)
+	call := <-worker.calls
+
+	handling, busy := make(chan struct{}), make(chan struct{})
+	a.enqueue(func(time.Duration) { close(handling); <-busy })
+	<-handling
+	time.Sleep(5 * time.Millisecond)
+	requestedAt := clock.SinceBoot()
+	time.Sleep(5 * time.Millisecond)
+	a.enqueue(func(now time.Duration) { a.state.StartDone(now, call, runner.StartOK, 5) })
+	a.enqueue(func(now time.Duration) { a.state.Renewed(now, requestedAt, &runner.RenewReply{Clock: 5, Born: 7}) })
+	runs := make(chan int, 1)
+	a.enqueue(func(time.Duration) { runs <- a.state.Runs() })
+	close(busy)
+	c.Assert(<-runs, qt.Equals, 1)
+}
+
+// blockingWorker answers start calls only when release is closed.
+type blockingWorker struct {
+	idleWorker
+	calls   chan runner.StartCall
+	release chan struct{}
+}
+
+func (w *blockingWorker) Start(_ context.Context, call runner.StartCall) (runner.StartResult, int64) {
+	w.calls <- call
+	<-w.release
+	return runner.StartOK, 5
+}
