Measure a hanging task from before its timeout begins

The test took the start of its measurement after it had created the context with the timeout of 300 ms; a test goroutine that isn't scheduled for 1.3 ms in between measures that much too little. With a pause of 2 ms in that place it fails every time. Change: the measurement begins first. The bound stays; with the same pause the test holds.

--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -76,9 +76,11 @@
 			if tc.faults.Hang {
 				timeout = 300 * time.Millisecond
 			}
+			// The timeout runs from before ctx exists, so the measured time must, too.
+			start := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
-			key, start := api.NewKeyAt(time.Now(), 1), time.Now()
+			key := api.NewKeyAt(time.Now(), 1)
 			status, reply := sendTask(ctx, b, key, 3, tc.body)
 			elapsed := time.Since(start)
 			qt.Assert(t, status, qt.Equals, tc.status, qt.Commentf("%s", reply))
