Wait in the agent's tests until it accepts starts

Cause: the test sent its one start as soon as the agent had told of its worker. An agent that has not had the worker's first list yet doesn't accept starts and refuses it, as it should. Change: the tests' entry waits for a report that accepts starts; waits end after 5 s with a message.

--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -151,8 +151,8 @@
 	return a
 }
 
-// connectEntry connects an entry to an agent and returns the state of the worker that the
-// agent reports to it.
+// connectEntry connects an entry to an agent, waits until the agent accepts starts, and
+// returns the state of the worker that it reports.
 func connectEntry(c *qt.C, a *Agent) (*link.Conn, *link.WorkerState) {
 	tcp, err := net.Dial("tcp", a.Addr())
 	c.Assert(err, qt.IsNil)
@@ -161,11 +161,18 @@
 	c.Cleanup(entry.Close)
 	c.Assert(entry.Send(&link.Hello{Protocol: link.Protocol, Entry: "e1", Incarnation: 1}), qt.IsNil)
 	c.Assert(entry.Read(&link.Welcome{}), qt.IsNil)
-	var report link.Report
-	for report.Worker == nil {
+	c.Assert(tcp.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	// The agent may tell of its worker before it accepts starts for it.
+	var worker *link.WorkerState
+	for accepting := false; worker == nil || !accepting; {
+		var report link.Report
 		c.Assert(entry.Read(&report), qt.IsNil)
+		accepting = report.Accepting
+		if report.Worker != nil {
+			worker = report.Worker
+		}
 	}
-	return entry, report.Worker
+	return entry, worker
 }
 
 func testStart(worker *link.WorkerState) link.Start {
@@ -224,7 +231,12 @@
 	c.Cleanup(func() { close(worker.release) })
 	entry, state := connectEntry(c, a)
 	c.Assert(entry.Send(&link.Commands{Sequence: 1, Starts: []link.Start{testStart(state)}}), qt.IsNil)
-	call := <-worker.calls
+	var call runner.StartCall
+	select {
+	case call = <-worker.calls:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the agent made no start call within 5 s")
+	}
 
 	handling, busy := make(chan struct{}), make(chan struct{})
 	a.enqueue(func(time.Duration) { close(handling); <-busy })
