--- a/link/messages.go
+++ b/link/messages.go
@@ -5,11 +5,11 @@
 // The limit keeps a damaged length from allocating more than a frame can hold.
 //msgp:limit arrays:16384
 
-//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Commands Spec StartAnswer End Progress WorkerState Report
+//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Demand Commands Spec StartAnswer End Progress WorkerState Report
 
 // Protocol is the version of the message set. A process rejects connections from
 // a peer with a different version.
-const Protocol uint16 = 5
+const Protocol uint16 = 6
 
 // Hello is the first message of a connection. The entry sends it.
 type Hello struct {
@@ -95,6 +95,27 @@
 	DueMS      int64
 }
 
+// Evacuation tells an agent whether the operator has the availability zone of its worker
+// evacuated.
+type Evacuation struct {
+	// Version is the version of the store at which the entry read it; 0 if it has not. The
+	// state with the highest version counts, whichever entry it comes from.
+	Version   uint64
+	Evacuated bool
+}
+
+// Demand describes the tasks of an entry that wait for free capacity and can still be on
+// time.
+type Demand struct {
+	// MilliCPU is what they need together; 0 if none waits.
+	MilliCPU int64
+	// SinceMS is since when the one that has waited longest waits, in milliseconds of the
+	// agent's clock.
+	SinceMS int64
+	// Need is that of the task to be started next.
+	Need Resources
+}
+
 // Commands is the message that an entry sends to an agent. Without claims, stops and
 // starts it is a ping, which asks for a Report unless the agent has just sent one.
 type Commands struct {
@@ -114,7 +135,9 @@
 	Waiting bool
 	// Inactive says that the entry starts no tasks at this worker at present. The agent
 	// then reports only changes of the worker and of whether it accepts tasks.
-	Inactive bool
+	Inactive   bool
+	Evacuation Evacuation
+	Demand     Demand
 }
 
 // Values of StartAnswer.Result.
@@ -220,6 +243,9 @@
 	// Speed is the ratio of the declared to the measured run time of tasks, so a
 	// higher value means a faster worker.
 	Speed float32
+	// LeavesMS is how long a worker that drains stays at least, in milliseconds when the
+	// report is made; 0 if that is unknown or the worker doesn't drain.
+	LeavesMS int64
 	// FailureRate is the exponentially decayed failure rate of the worker's runs, 0
 	// to 1. It also counts starts that the worker left unanswered. A failure of the
 	// same job as the previous failure is not counted.
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -122,8 +122,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.AsOfMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
@@ -159,6 +159,15 @@
 	}
 	o = msgp.AppendBool(o, z.Waiting)
 	o = msgp.AppendBool(o, z.Inactive)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Evacuation.Version)
+	o = msgp.AppendBool(o, z.Evacuation.Evacuated)
+	o, err = z.Demand.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Demand")
+		return
+	}
 	return
 }
 
@@ -170,8 +179,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -313,6 +322,31 @@
 		err = msgp.WrapError(err, "Inactive")
 		return
 	}
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuation")
+		return
+	}
+	if zb0008 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+		return
+	}
+	z.Evacuation.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuation", "Version")
+		return
+	}
+	z.Evacuation.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuation", "Evacuated")
+		return
+	}
+	bts, err = z.Demand.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Demand")
+		return
+	}
 	o = bts
 	return
 }
@@ -335,7 +369,79 @@
 	for za0004 := range z.Specs {
 		s += 1 + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Specs[za0004].Data)
 	}
-	s += msgp.BoolSize + msgp.BoolSize
+	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + z.Demand.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Demand) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.MilliCPU)
+	o = msgp.AppendInt64(o, z.SinceMS)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Need.MilliCPU)
+	o = msgp.AppendInt64(o, z.Need.MemoryMB)
+	o = msgp.AppendInt64(o, z.Need.GPU)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Demand) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.MilliCPU, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MilliCPU")
+		return
+	}
+	z.SinceMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SinceMS")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need")
+		return
+	}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
+		return
+	}
+	z.Need.MilliCPU, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need", "MilliCPU")
+		return
+	}
+	z.Need.MemoryMB, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need", "MemoryMB")
+		return
+	}
+	z.Need.GPU, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Need", "GPU")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Demand) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.Int64Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -417,6 +523,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Evacuation) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendBool(o, z.Evacuated)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evacuation) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuated")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Evacuation) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -552,8 +700,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.ClockMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Answers)))
@@ -596,6 +744,7 @@
 	o = msgp.AppendInt64(o, z.Free.MemoryMB)
 	o = msgp.AppendInt64(o, z.Free.GPU)
 	o = msgp.AppendFloat32(o, z.Speed)
+	o = msgp.AppendInt64(o, z.LeavesMS)
 	o = msgp.AppendFloat32(o, z.FailureRate)
 	return
 }
@@ -608,8 +757,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -739,6 +888,11 @@
 		err = msgp.WrapError(err, "Speed")
 		return
 	}
+	z.LeavesMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LeavesMS")
+		return
+	}
 	z.FailureRate, bts, err = msgp.ReadFloat32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "FailureRate")
@@ -767,7 +921,7 @@
 	} else {
 		s += z.Worker.Msgsize()
 	}
-	s += msgp.BoolSize + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Float32Size + msgp.Float32Size
+	s += msgp.BoolSize + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Float32Size + msgp.Int64Size + msgp.Float32Size
 	return
 }
 
