Start no task on workers of evacuated zones

The operator can have a zone evacuated; the scheduler of an entry gets the zones with the version of the store at which they were read. Their workers are not usable: they count neither as capacity nor as reserve, starts that were not sent are placed again, and a job that only they may run is refused at once, with Retry-After. Tasks that have started go on. A change, and the first report of an agent in such a zone, makes a command to the agent. Without evacuated zones each worker is checked for one more flag.

--- a/dispatch/active.go
+++ b/dispatch/active.go
@@ -102,6 +102,8 @@
 		d.use += t.step().Need.MilliCPU
 	}
 	switch {
+	case w.evacuated:
+		// It stays as it is, so that it can be used at once when the zone is restored.
 	case !w.active:
 		d.inactive = append(d.inactive, w)
 	case w.usable(w.state.Service):
@@ -181,7 +183,7 @@
 // to report their free capacity. Jobs are not refused for lack of capacity then.
 func (s *Scheduler) hasReserve(now time.Duration, service string) bool {
 	return slices.ContainsFunc(s.workersByName, func(w *worker) bool {
-		if !w.connected || !w.accepting || w.state.Service != service {
+		if !w.connected || !w.accepting || w.evacuated || w.state.Service != service {
 			return false
 		}
 		return !w.active || !w.reported && now-w.activeSince < activationTimeout
@@ -193,7 +195,7 @@
 func (s *Scheduler) activateEligible(now time.Duration, t *task) {
 	count := 0
 	for _, w := range s.activationOrder() {
-		if w.connected && !w.active && w.state.Service == t.job.Service && s.eligible(t, w) {
+		if w.connected && !w.active && !w.evacuated && w.state.Service == t.job.Service && s.eligible(t, w) {
 			w.pinnedUntil = now + pinPeriod
 			s.setActive(now, w, true)
 			if count++; count >= minActiveWorkers {
@@ -222,7 +224,7 @@
 		if count >= minActiveInRack {
 			return
 		}
-		if !w.connected || w.state.Service != j.Service || !slices.Contains(w.state.Labels, rack) {
+		if !w.connected || w.evacuated || w.state.Service != j.Service || !slices.Contains(w.state.Labels, rack) {
 			continue
 		}
 		switch {
--- /dev/null
+++ b/dispatch/evacuation_test.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/link"
+)
+
+// newZonesHarness returns a harness with w1 in zone a, w2 in zone b.
+func newZonesHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	h.addWorkerInZone("a", "w1", 8, 1)
+	h.addWorkerInZone("b", "w2", 8, 1)
+	h.takeActions()
+	return h
+}
+
+// told returns the workers to which the pending commands go.
+func (h *harness) told() (names []string) {
+	for _, c := range h.takeActions() {
+		names = append(names, c.Worker)
+	}
+	return names
+}
+
+func (h *harness) evacuate(version uint64, zones ...string) {
+	h.s.SetEvacuated(h.now, version, zones)
+}
+
+// Guards against a start in an evacuated zone, whatever the load, also of a start that was
+// placed and not sent yet; and against a worker that stays unused after the zone's return.
+func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
+	h := newZonesHarness(t)
+	h.mustAccept(h.newJob("a", 8, 100*ms))
+	h.evacuate(5, "a")
+	starts := h.takeStarts()
+	h.Assert(starts["w1"], qt.HasLen, 0)
+	h.Assert(starts["w2"], qt.HasLen, 8)
+	for _, st := range starts["w2"] {
+		h.Assert(st.Attempt, qt.Equals, uint32(1))
+	}
+	h.mustAccept(h.newJob("b", 4, 100*ms))
+	h.Assert(h.takeStarts(), qt.HasLen, 0)
+	total, _ := h.s.capacity("service")
+	h.Assert(total, qt.Equals, int64(32000))
+	h.evacuate(6)
+	h.Assert(h.takeStarts()["w1"], qt.HasLen, 4)
+	h.Assert(h.s.workers["w1"].unconfirmed.MilliCPU, qt.Equals, int64(16000))
+}
+
+// Guards against a run that is stopped or lost because its zone is evacuated, and against one
+// that a slow worker gives up in favour of a worker of an evacuated zone.
+func TestRunsGoOnInAnEvacuatedZone(t *testing.T) {
+	h := newZonesHarness(t)
+	h.addWorkerInZone("c", "w3", 8, 0.1)
+	h.evacuate(4, "b", "c")
+	h.takeActions()
+	h.mustAccept(h.newJob("a", 1, 300*ms))
+	start := h.takeStarts()["w1"][0]
+	h.report("w1", 7, 1, &link.Report{Answers: []link.StartAnswer{started(start)}})
+	h.evacuate(5, "a", "b", "c")
+	h.now += 500 * ms
+	// It is late here, and the idle worker of zone b would be much faster.
+	h.report("w1", 7, 0.1, &link.Report{Progress: []link.Progress{{Task: start.Task, Attempt: start.Attempt, Percent: 10, RemainingMS: 1500}}})
+	h.s.Tick(h.now)
+	for _, c := range h.takeActions() {
+		h.Assert(c.Stops, qt.HasLen, 0)
+	}
+	h.report("w1", 8, 1, &link.Report{Ends: []link.End{{Task: start.Task, Attempt: start.Attempt, Outcome: link.Done}}})
+	h.takeActions()
+	h.Assert(h.answers["a"].Outcome, qt.Equals, api.Complete)
+}
+
+// Guards against a state of an older version that replaces a newer one: a slow read, or
+// another entry, may say what was so before the zone was evacuated, or restored, again.
+func TestOlderEvacuationsHaveNoEffect(t *testing.T) {
+	h := newZonesHarness(t)
+	h.evacuate(5, "a")
+	h.evacuate(4)
+	h.evacuate(5, "b")
+	h.Assert([]bool{h.s.workers["w1"].evacuated, h.s.workers["w2"].evacuated}, qt.DeepEquals, []bool{true, false})
+	h.evacuate(6)
+	h.evacuate(5, "a")
+	h.Assert(h.s.workers["w1"].evacuated, qt.IsFalse)
+	h.evacuate(7, "a")
+	h.Assert(h.s.workers["w1"].evacuated, qt.IsTrue)
+}
+
+// Guards against an agent that is told late, or that is told of a zone of which it isn't: each
+// is the last check of starts by entries that know less.
+func TestAgentsAreToldOfTheirZoneAtOnce(t *testing.T) {
+	h := newZonesHarness(t)
+	h.s.setActive(h.now, h.s.workers["w1"], false)
+	h.takeActions()
+	h.evacuate(5, "a")
+	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 5, Evacuated: true})
+	h.Assert(h.s.Evacuation("w2"), qt.Equals, link.Evacuation{Version: 5})
+	h.evacuate(6, "a")
+	h.Assert(h.told(), qt.HasLen, 0)
+
+	// The worker may have another zone when its agent is back: nothing is said before its report.
+	h.s.AgentDisconnected(h.now, "w1", "killed")
+	h.s.AgentConnected(h.now, "w1")
+	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{})
+	h.Assert(h.told(), qt.HasLen, 0)
+	state := h.s.workers["w1"].state
+	h.report("w1", 8, 1, &link.Report{Worker: &state})
+	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+
+	// The agent may still have the state that was sent for its former zone.
+	state.Zone = "c"
+	h.report("w1", 8, 1, &link.Report{Worker: &state})
+	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 6})
+	h.evacuate(7)
+	h.Assert(h.told(), qt.HasLen, 0)
+}
+
+// Guards against a start by an entry that learns of a worker only after the evacuation.
+func TestWorkerThatConnectsInAnEvacuatedZone(t *testing.T) {
+	h := newHarness(t)
+	h.evacuate(5, "a")
+	h.addWorkerInZone("a", "w1", 8, 1)
+	h.addWorkerInZone("b", "w2", 1, 1)
+	h.mustAccept(h.newJob("a", 2, 100*ms))
+	starts := h.takeStarts()
+	h.Assert(starts["w1"], qt.HasLen, 0)
+	h.Assert(starts["w2"], qt.HasLen, 1)
+}
+
+// Load: the operator evacuates all zones. Guards against callers who wait for nothing, a
+// refusal that isn't true, and jobs that are still refused after the zones' return.
+func TestAllZonesEvacuated(t *testing.T) {
+	h := newZonesHarness(t)
+	h.mustAccept(h.newJob("started", 1, 100*ms))
+	for worker, starts := range h.takeStarts() {
+		h.report(worker, 7, 1, &link.Report{Answers: []link.StartAnswer{started(starts[0])}})
+	}
+	h.mustAccept(h.newJob("placed", 2, 100*ms))
+	h.evacuate(5, "a", "b")
+	h.Assert(h.takeStarts(), qt.HasLen, 0)
+	v := h.s.Submit(h.now, h.newJob("refused", 1, 100*ms))
+	h.Assert(v, qt.IsNotNil)
+	h.Assert([]any{v.Ran, v.Reason, v.RetryAfter}, qt.DeepEquals, []any{api.RanNo, api.ReasonOverload, 2 * time.Second})
+	h.s.Tick(h.now)
+	h.takeActions()
+	h.Assert(h.answers["placed"].Ran, qt.Equals, api.RanNo)
+	h.Assert(h.answers["started"] == nil, qt.IsTrue)
+	h.Assert(h.s.Stats().EvacuationRefusals, qt.Equals, int64(2))
+
+	// Workers that are full or about to become active are worth a wait.
+	h.evacuate(6, "a")
+	h.s.setActive(h.now, h.s.workers["w2"], false)
+	h.mustAccept(h.newJob("waits", 1, 100*ms))
+	h.s.Tick(h.now)
+	h.takeActions()
+	h.Assert(h.answers["waits"] == nil, qt.IsTrue)
+	// A worker that drains isn't.
+	h.s.AgentReported(h.now, "w2", &link.Report{Speed: 1})
+	h.s.Tick(h.now)
+	h.takeActions()
+	h.Assert(h.answers["waits"].Ran, qt.Equals, api.RanNo)
+}
+
+// Guards against a task that waits until its deadline because the only workers with its label
+// are in an evacuated zone, or because it is kept for a worker there that hasn't failed it.
+func TestConstraintsAndEvacuation(t *testing.T) {
+	h := newZonesHarness(t)
+	h.s.AgentConnected(h.now, "w3")
+	h.report("w3", 8, 1, &link.Report{Worker: &link.WorkerState{Service: "service", Zone: "a", Labels: []string{"gpu"}, Capacity: link.Resources{MilliCPU: 32000}}})
+	h.evacuate(5, "a")
+	labelled := h.newJob("a", 1, 100*ms)
+	labelled.Steps[0].RequiredLabel = "gpu"
+	h.Assert(h.s.Submit(h.now, labelled), qt.IsNotNil)
+	h.mustAccept(h.newJob("b", 1, 100*ms))
+	start := h.takeStarts()["w2"][0]
+	h.report("w2", 7, 1, &link.Report{Answers: []link.StartAnswer{started(start)}})
+	h.report("w2", 8, 1, &link.Report{Ends: []link.End{{Task: start.Task, Attempt: start.Attempt, Outcome: link.Failed}}})
+	h.Assert(h.takeStarts()["w2"], qt.HasLen, 1)
+}
+
+// Load: a large fleet, of which the entry uses a part in its own zone. Guards against a zone
+// that is evacuated and leaves too few active workers, and against evacuated workers that
+// become active.
+func TestOtherZonesBecomeActive(t *testing.T) {
+	h := newHarness(t)
+	h.s.opts.Zone = "a"
+	for i := range 60 {
+		h.addWorkerInZone(string(rune('a'+i%2)), "w"+string(rune('A'+i)), 1, 1)
+	}
+	for range 200 {
+		h.now += 100 * ms
+		h.s.Tick(h.now)
+		h.takeActions()
+	}
+	active := func(zone string) (n int) {
+		for _, w := range h.s.workersByName {
+			if w.active && w.state.Zone == zone {
+				n++
+			}
+		}
+		return n
+	}
+	h.Assert([]int{active("a"), active("b")}, qt.DeepEquals, []int{16, 0})
+	h.evacuate(5, "a")
+	h.takeActions()
+	h.Assert([]int{active("a"), active("b")}, qt.DeepEquals, []int{16, 16})
+}
+
+// Guards against an unnoticed spelling mistake in the operator's row, and against a line for
+// each tick or each read.
+func TestEvacuatedZoneWithoutWorkersIsLoggedOnce(t *testing.T) {
+	h := newZonesHarness(t)
+	var messages []string
+	for n := range 30 {
+		h.evacuate(uint64(n+1), "", "a", "nowhere")
+		h.now += time.Second
+		h.s.Tick(h.now)
+		for _, l := range h.s.TakeActions(h.now).LogLines {
+			messages = append(messages, l.Message)
+		}
+	}
+	slices.Sort(messages)
+	h.Assert(messages, qt.DeepEquals, []string{"evacuated zone has no worker", "zone evacuated", "zone evacuated"})
+}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -27,7 +27,7 @@
 		slices.SortFunc(s.workersByName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 		s.byActivation = nil
 	}
-	w.connected, w.reported, w.active, w.activeSince = true, false, true, now
+	w.connected, w.reported, w.zoneReported, w.active, w.activeSince = true, false, false, true, now
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
@@ -104,6 +104,7 @@
 	if r.Worker != nil {
 		w.state = *r.Worker
 		s.replaceUnsentStarts(now, w)
+		s.zoneReported(now, w)
 		s.byActivation = nil
 		s.log(decisions.Info("worker state received", "worker", name, "life", w.state.ID, "service", w.state.Service,
 			"milli_cpu", w.state.Capacity.MilliCPU, "accepting", r.Accepting))
@@ -150,6 +151,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
+	clear(s.evacuation.runnable)
 	s.placementDue = true
 }
 
@@ -321,6 +323,7 @@
 	for _, j := range s.sortedJobs() {
 		s.tickJob(now, j)
 	}
+	s.checkZones(now)
 	s.placementDue = true
 }
 
@@ -358,6 +361,12 @@
 	if !waiting {
 		return
 	}
+	if j.ranStatus() == api.RanNo {
+		if v := s.refuseEvacuated(now, j); v != nil {
+			s.finish(now, j, v)
+			return
+		}
+	}
 	limit := j.Deadline - answerMargin
 	if !j.started {
 		limit = j.cutoff
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,6 +33,9 @@
 	if now >= j.cutoff {
 		return api.Refuse(api.ReasonDeadlinePast, "the deadline has passed")
 	}
+	if v := s.refuseEvacuated(now, j); v != nil {
+		return v
+	}
 	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) {
 		return s.overloadVerdict(minRetryAfter, "too late to be on time, and jobs that can be need the capacity")
 	}
@@ -125,7 +128,7 @@
 
 // usable reports whether the worker can get tasks of a service at present.
 func (w *worker) usable(service string) bool {
-	return w.connected && w.active && w.reported && w.accepting && w.state.Service == service
+	return w.connected && w.active && w.reported && w.accepting && !w.evacuated && w.state.Service == service
 }
 
 // jobClass says how likely a waiting job is to be on time. Lower classes are
@@ -377,7 +380,7 @@
 // not, on which the task has not failed.
 func (s *Scheduler) hasUntriedWorker(t *task) bool {
 	for _, w := range s.workersByName {
-		if w.connected && w.accepting && w.state.Service == t.job.Service && t.step().permits(w) && !slices.Contains(t.failedOn, w.name) {
+		if w.connected && w.accepting && !w.evacuated && w.state.Service == t.job.Service && t.step().permits(w) && !slices.Contains(t.failedOn, w.name) {
 			return true
 		}
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -99,6 +99,9 @@
 	// reported says whether the agent has sent a report on its current connection, and
 	// since the worker became active.
 	reported bool
+	// zoneReported says whether the agent has reported its zone on its current connection,
+	// evacuated whether the zone is evacuated.
+	zoneReported, evacuated bool
 	// active says whether the worker may get tasks, activeSince since when. pinnedUntil is
 	// the time until which it stays active in any case.
 	active      bool
@@ -155,7 +158,8 @@
 	placementDue bool
 	// maxSpeeds caches the result of maxSpeed by service. It is cleared whenever
 	// a worker changes.
-	maxSpeeds map[string]float64
+	maxSpeeds  map[string]float64
+	evacuation evacuation
 }
 
 type cachedAnswer struct {
@@ -178,6 +182,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
+		evacuation: evacuation{unchecked: map[string]bool{}, runnable: map[workerKind]bool{}},
 	}
 }
 
@@ -212,11 +217,15 @@
 	// RefusedStarts counts the starts that agents refused since the entry started, most of
 	// them because other entries were faster.
 	RefusedStarts int64
+	// EvacuatedZones are evacuated at present. EvacuationRefusals counts the jobs that were
+	// refused for this reason since the entry started.
+	EvacuatedZones     int
+	EvacuationRefusals int64
 }
 
 // Stats returns the present state.
 func (s *Scheduler) Stats() Stats {
-	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts}
+	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals}
 	for _, w := range s.workersByName {
 		if !w.connected {
 			continue
