Refuse starts at agents of evacuated zones

An entry that is cut off from the store may send starts into a zone that the operator has evacuated. The agent keeps the state with the highest version that any entry has sent, and answers starts with Refused while its zone is evacuated. The state is reset when the worker comes back in another zone, not when it restarts in the same one.

The tests of runner pass with -race.

--- a/runner/entries.go
+++ b/runner/entries.go
@@ -69,6 +69,7 @@
 	conn.asOf = max(conn.asOf, min(now, time.Duration(c.AsOfMS)*time.Millisecond))
 	becameActive := conn.inactive && !c.Inactive
 	conn.lastHeardAt, conn.sequence, conn.waiting, conn.inactive = now, c.Sequence, c.Waiting, c.Inactive
+	s.learnEvacuation(conn, c.Evacuation)
 	// A ping shortly after a report needs no answer: the entry has just heard from
 	// this agent. Commands have answers of their own, within a few milliseconds.
 	isPing := len(c.Claims)+len(c.Stops)+len(c.Starts) == 0
@@ -175,6 +176,9 @@
 }
 
 func (s *State) handleStart(now time.Duration, id ConnID, conn *entryConn, c *link.Start) {
+	if s.refuseEvacuated(now, conn, c) {
+		return
+	}
 	k := runKey{c.Task, c.Attempt}
 	leaseEnd := min(s.leaseEnd(now), s.entryLimit(conn))
 	// A worker that has restarted or changed since may be of another kind: only the agent
--- a/runner/state.go
+++ b/runner/state.go
@@ -202,6 +202,8 @@
 	// lastStartAt is when the last start was accepted.
 	lastStartAt time.Duration
 
+	evacuation evacuation
+
 	actions Actions
 }
 
@@ -353,6 +355,7 @@
 			"draining", a.Draining, "leaves_in_ms", a.Leaves.Milliseconds()))
 	}
 	s.worker = &a
+	s.setZone(a.Zone)
 	if !s.reachable {
 		// The worker may be reachable again; check at once.
 		s.nextRenewAt = now
@@ -373,6 +376,7 @@
 		return
 	}
 	s.worker, s.restored = r, nil
+	s.setZone(r.Zone)
 	s.workerRevision++
 	s.log(decisions.Info("stored worker announcement restored", "life", r.ID, "born", r.Born, "milli_cpu", r.Capacity.MilliCPU, "draining", r.Draining))
 }
