Read evacuated zones from the store and pass them on

The operator's rows evacuate/ZONE in table op name the zones. An entry reads them with the configuration, and passes them to its event loop before the configuration of the same read takes effect; Watch passes on the version of each read for this. While the store is away, entries get the zones from each other, with a version that the query names, and are answered when the zones change. Each message to an agent carries the state of its zone. Only package platform knows the key.

In dispatch an equal version now takes effect: dispatchd decides, and the entry's own latest read counts. Metrics: zones_evacuated and jobs_refused_evacuated_total of entries, zone_evacuated and run_starts_refused_evacuated_total of agents.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -138,10 +138,12 @@
 var errUnanswered = errors.New("no answer in time")
 
 // Watch reads a table and then its changes until ctx ends. It calls apply with the
-// rows that it has read; full says that they are the whole table. It calls setFailing
+// rows that it has read; full says that they are the whole table, and version is that of
+// the store at which they were read. It rises from call to call, but for a full read after
+// the first, which may be older than the read before. It calls setFailing
 // with true when a read fails or has no answer in time, and with false after each read
 // that succeeds.
-func Watch(ctx context.Context, s Store, table string, log *decisions.Log, apply func(rows []Row, full bool), setFailing func(bool)) {
+func Watch(ctx context.Context, s Store, table string, log *decisions.Log, apply func(rows []Row, full bool, version uint64), setFailing func(bool)) {
 	w := watcher{store: s, table: table, log: log, setFailing: setFailing}
 	for ctx.Err() == nil {
 		rows, full, err := w.poll(ctx)
@@ -155,7 +157,7 @@
 		}
 		w.recordSuccess()
 		if full || len(rows) > 0 {
-			apply(rows, full)
+			apply(rows, full, w.version)
 		}
 	}
 }
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -38,10 +38,10 @@
 type workerKind struct{ service, label string }
 
 // SetEvacuated sets the zones whose workers get no tasks, as read at a version of the
-// store. A version that is not newer than the present one has no effect. Starts that were
+// store. A version that is older than the present one has no effect. Starts that were
 // not sent yet are placed again; tasks that have started go on.
 func (s *Scheduler) SetEvacuated(now time.Duration, version uint64, zones []string) {
-	if version <= s.evacuation.version {
+	if version < s.evacuation.version {
 		return
 	}
 	s.evacuation.version = version
--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		if ping {
-			a.send(now, d.callersKnownAt(now), &link.Commands{Waiting: d.scheduler.HasWaitingJobs(), Inactive: !active})
+			a.send(now, d.callersKnownAt(now), &link.Commands{Waiting: d.scheduler.HasWaitingJobs(), Inactive: !active, Evacuation: d.scheduler.Evacuation(name)})
 		}
 	}
 }
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -83,6 +83,9 @@
 	ConfigTable  string
 	ConfigKey    string
 	DecodeConfig func([]byte) (*routes.Config, error)
+	// EvacuatedZone returns the zone that the row of ConfigTable with a key has evacuated.
+	// ok is false if the row is of another kind, and the zone empty if the key names none.
+	EvacuatedZone func(key string) (zone string, ok bool)
 	// DirectoryAddress is the address at which this entry serves directory.Path to
 	// other entries. Seeds are the addresses of entries to query even if they are
 	// not in the directory.
@@ -126,9 +129,14 @@
 	submissions atomic.Int64
 
 	cache directoryCache
+	// evacuationsMu is held while evacuated zones are put in effect, until the event loop has
+	// been passed them.
+	evacuationsMu sync.Mutex
 	// rejected holds the entries of the directory that can't be used.
 	rejected directory.Rejected
-	metrics  metrics
+	// rejectedEvacuations holds the keys of rows that name no zone.
+	rejectedEvacuations directory.Rejected
+	metrics             metrics
 
 	// The fields below are accessed by the event loop only.
 	scheduler *dispatch.Scheduler
@@ -144,6 +152,8 @@
 	// it said of refused starts.
 	statsAt       time.Duration
 	refusedStarts int64
+	// evacuationRefusals is what it said of jobs refused because of evacuated zones.
+	evacuationRefusals int64
 }
 
 // event is an event of the event loop. handle gets the time at which it is handled.
@@ -293,7 +303,8 @@
 	}
 	stats := d.scheduler.Stats()
 	d.metrics.recordStats(stats, stats.RefusedStarts-d.refusedStarts, d.lag.mean)
-	d.statsAt, d.refusedStarts = now, stats.RefusedStarts
+	d.metrics.evacuationRefusals.Inc(stats.EvacuationRefusals - d.evacuationRefusals)
+	d.statsAt, d.refusedStarts, d.evacuationRefusals = now, stats.RefusedStarts, stats.EvacuationRefusals
 }
 
 // checkSuspension returns the time, and tells the scheduler if the process was
@@ -362,7 +373,7 @@
 		}
 		d.metrics.starts.Inc(int64(len(c.Starts)))
 		d.metrics.stops.Inc(int64(len(c.Stops)))
-		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive}
+		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker)}
 		if err := packer.Pack(commands); err != nil {
 			// The connection would be out of step with the scheduler; its loss puts the
 			// starts right.
--- a/dispatchd/entry_test.go
+++ b/dispatchd/entry_test.go
@@ -32,6 +32,8 @@
 	// sequence is that of the last commands. If deaf, commands are received and not answered.
 	sequence uint64
 	deaf     bool
+	// onCommands, if set, gets all commands.
+	onCommands func(*link.Commands)
 }
 
 func startEntry(t *testing.T) *runningEntry {
@@ -83,6 +85,9 @@
 			e.received <- c
 		}
 		e.mu.Lock()
+		if e.onCommands != nil {
+			e.onCommands(&c)
+		}
 		if !e.deaf {
 			e.sequence = c.Sequence
 			e.report(c.Sequence, &link.Report{})
--- a/dispatchd/knowledge.go
+++ b/dispatchd/knowledge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,12 @@
 	// config is the encoded configuration.
 	config        []byte
 	configVersion uint64
+	// evacuatedInStore holds the evacuated zones that the entry's own reads of the store
+	// show, evacuations those in effect, which may come from another entry.
+	// evacuationsChangedAt is the version at which the zones in effect last changed.
+	evacuatedInStore     map[string]bool
+	evacuations          directory.Evacuations
+	evacuationsChangedAt uint64
 	// membersReadFailing and configReadFailing say whether the last read of the members
 	// or of the configuration from the store failed, or there was none yet.
 	membersReadFailing bool
@@ -52,7 +59,7 @@
 
 // applyMembers applies rows of the members' table; full says that they are the whole
 // table.
-func (d *Dispatcher) applyMembers(rows []directory.Row, full bool) {
+func (d *Dispatcher) applyMembers(rows []directory.Row, full bool, _ uint64) {
 	d.cache.mu.Lock()
 	known := d.cache.members
 	d.cache.membersRead = true
@@ -139,19 +146,86 @@
 }
 
 func (d *Dispatcher) watchConfig(ctx context.Context) {
-	directory.Watch(ctx, d.opts.Store, d.opts.ConfigTable, d.opts.Log, func(rows []directory.Row, _ bool) {
-		for _, r := range rows {
-			if r.Key == d.opts.ConfigKey && !r.Deleted {
-				d.applyConfig(r.Value, "store")
-			}
-		}
-	}, func(failing bool) {
+	directory.Watch(ctx, d.opts.Store, d.opts.ConfigTable, d.opts.Log, d.applyConfigTable, func(failing bool) {
 		d.cache.mu.Lock()
 		d.cache.configReadFailing = failing
 		d.cache.mu.Unlock()
 	})
 }
 
+// applyConfigTable applies rows of the table with the configuration; full says that they
+// are the whole table, and version is that of the store. The evacuated zones come first: the
+// first configuration makes the entry start tasks.
+func (d *Dispatcher) applyConfigTable(rows []directory.Row, full bool, version uint64) {
+	d.applyEvacuations(rows, full, version)
+	for _, r := range rows {
+		if r.Key == d.opts.ConfigKey && !r.Deleted {
+			d.applyConfig(r.Value, "store")
+		}
+	}
+}
+
+// applyEvacuations applies the rows that have zones evacuated. A row counts even if its
+// value can't be read.
+func (d *Dispatcher) applyEvacuations(rows []directory.Row, full bool, version uint64) {
+	d.evacuationsMu.Lock()
+	defer d.evacuationsMu.Unlock()
+	d.cache.mu.Lock()
+	if full {
+		d.cache.evacuatedInStore = map[string]bool{}
+	}
+	for _, r := range rows {
+		zone, ok := d.opts.EvacuatedZone(r.Key)
+		switch {
+		case !ok:
+		case r.Deleted:
+			delete(d.cache.evacuatedInStore, zone)
+			d.rejectedEvacuations.Remove(r.Key)
+		case zone == "":
+			if d.rejectedEvacuations.Add(r.Key, nil) {
+				d.opts.Log.Add(decisions.Warn("row names no zone to evacuate, other rows stay in effect", "row", r.Key))
+			}
+		default:
+			d.cache.evacuatedInStore[zone] = true
+		}
+	}
+	zones := slices.Sorted(maps.Keys(d.cache.evacuatedInStore))
+	d.cache.mu.Unlock()
+	// What was read last from the store counts also if its version has not risen.
+	d.setEvacuations(directory.Evacuations{Version: version, Zones: zones})
+}
+
+// mergeEvacuations puts the evacuated zones of another entry's reply in effect if they are
+// newer; nil if it has none. When it returns, the event loop has been passed all zones that
+// this entry knew when it sent the query, also those of a read that is being applied.
+func (d *Dispatcher) mergeEvacuations(e *directory.Evacuations) {
+	d.evacuationsMu.Lock()
+	defer d.evacuationsMu.Unlock()
+	d.cache.mu.Lock()
+	newer := e != nil && e.Version > d.cache.evacuations.Version
+	d.cache.mu.Unlock()
+	if newer {
+		d.setEvacuations(*e)
+	}
+}
+
+// setEvacuations puts evacuated zones in effect, unless newer ones are. The event loop
+// handles them before jobs that are submitted after the call. The caller holds evacuationsMu.
+func (d *Dispatcher) setEvacuations(e directory.Evacuations) {
+	d.cache.mu.Lock()
+	if e.Version < d.cache.evacuations.Version {
+		d.cache.mu.Unlock()
+		return
+	}
+	if !slices.Equal(e.Zones, d.cache.evacuations.Zones) {
+		d.cache.evacuationsChangedAt = e.Version
+		d.cache.notify()
+	}
+	d.cache.evacuations = e
+	d.cache.mu.Unlock()
+	d.post(func(now time.Duration) { d.scheduler.SetEvacuated(now, e.Version, e.Zones) })
+}
+
 // applyConfig decodes a configuration and puts it in effect if it is newer.
 func (d *Dispatcher) applyConfig(value []byte, from string) {
 	c, err := d.opts.DecodeConfig(value)
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -25,6 +25,8 @@
 	// The gauges and startsRefused are set from dispatch.Stats.
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
 	startsRefused                                           tally.Counter
+	evacuatedZones                                          tally.Gauge
+	evacuationRefusals                                      tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -47,6 +49,7 @@
 		jobs:            scope.Gauge("jobs_in_progress"), waitingJobs: scope.Gauge("jobs_waiting"),
 		workersConnected: scope.Gauge("workers_connected"), workersActive: scope.Gauge("workers_active"),
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
+		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
@@ -69,6 +72,7 @@
 	m.workersActive.Update(float64(s.ActiveWorkers))
 	m.lag.Update(lag.Seconds())
 	m.startsRefused.Inc(refused)
+	m.evacuatedZones.Update(float64(s.EvacuatedZones))
 }
 
 func (m *metrics) recordAnswer(v *api.Verdict, took time.Duration) {
--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -53,12 +53,18 @@
 	Members []json.RawMessage `json:"members"`
 	// MembersRevision identifies the state of the members.
 	MembersRevision string `json:"members_revision,omitempty"`
+	// Evacuations are set if the query names an older version.
+	Evacuations *directory.Evacuations `json:"evacuations,omitempty"`
 }
 
 // directoryQuery says what the other entry knows already.
 type directoryQuery struct {
 	configVersion   string
 	membersRevision string
+	// evacuations is the known version of the evacuated zones, valid if asksEvacuations. An
+	// entry of an earlier release doesn't name it, and would be sent the zones each time.
+	evacuations     uint64
+	asksEvacuations bool
 	wait            time.Duration
 }
 
@@ -69,6 +75,9 @@
 	e := echo.New()
 	e.GET(directory.Path, func(c echo.Context) error {
 		q := directoryQuery{configVersion: c.QueryParam("config"), membersRevision: c.QueryParam("members")}
+		if version, err := strconv.ParseUint(c.QueryParam("evacuations"), 10, 64); err == nil {
+			q.evacuations, q.asksEvacuations = version, true
+		}
 		if ms, err := strconv.Atoi(c.QueryParam("wait_ms")); err == nil && ms > 0 {
 			q.wait = min(time.Duration(ms)*time.Millisecond, peerWait)
 		}
@@ -103,8 +112,9 @@
 		d.cache.mu.Lock()
 		reply, err := d.cache.reply(d.opts.Incarnation, q)
 		changed := d.cache.changed
+		zonesChanged := q.asksEvacuations && q.evacuations < d.cache.evacuationsChangedAt
 		d.cache.mu.Unlock()
-		if err != nil || !waiting || len(reply.Config) > 0 || len(reply.Members) > 0 {
+		if err != nil || !waiting || len(reply.Config) > 0 || len(reply.Members) > 0 || zonesChanged {
 			return reply, err
 		}
 		select {
@@ -124,6 +134,10 @@
 	if q.configVersion != formatVersion(c.configVersion) {
 		reply.Config = c.config
 	}
+	if q.asksEvacuations && q.evacuations < c.evacuations.Version {
+		evacuations := c.evacuations
+		reply.Evacuations = &evacuations
+	}
 	// A query that names no revision of this incarnation knows nothing yet.
 	known := uint64(0)
 	if revision, ok := strings.CutPrefix(q.membersRevision, prefix); ok {
@@ -249,9 +263,9 @@
 // answer: it may be down as well. The loss of the store is logged already.
 func (d *Dispatcher) queryPeer(ctx context.Context, client *http.Client, address string, wait time.Duration) bool {
 	d.cache.mu.Lock()
-	version, revision := d.cache.configVersion, d.cache.peerRevisions[address]
+	version, revision, evacuations := d.cache.configVersion, d.cache.peerRevisions[address], d.cache.evacuations.Version
 	d.cache.mu.Unlock()
-	query := url.Values{"config": {formatVersion(version)}, "members": {revision}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	query := url.Values{"config": {formatVersion(version)}, "members": {revision}, "evacuations": {formatVersion(evacuations)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	reply, err := fetchDirectory(ctx, client, "http://"+address+directory.Path+"?"+query.Encode())
 	if err != nil {
 		return false
@@ -263,6 +277,8 @@
 		d.cache.peerRevisions[address] = reply.MembersRevision
 	}
 	d.cache.mu.Unlock()
+	// The configuration may make this entry start tasks.
+	d.mergeEvacuations(reply.Evacuations)
 	if reply.ConfigVersion > version && len(reply.Config) > 0 {
 		d.applyConfig(reply.Config, "entry at "+address)
 	}
--- a/host/entry.go
+++ b/host/entry.go
@@ -20,7 +20,7 @@
 	d := dispatchd.New(dispatchd.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
-		DecodeConfig: platform.DecodeConfig, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
+		DecodeConfig: platform.DecodeConfig, EvacuatedZone: platform.EvacuatedZone, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
 		GracePeriod: s.GracePeriod, CloseConnections: func() { callerServer.SetKeepAlivesEnabled(false) },
 		Log: p.log, Metrics: p.metrics,
 	})
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -122,12 +122,19 @@
 	state      *runner.State
 	conns      map[runner.ConnID]*link.Conn
 	lastConnID runner.ConnID
+	// evacuationRefusals is what the state last said of starts refused because the zone is
+	// evacuated.
+	evacuationRefusals int64
 }
 
 type metrics struct {
 	starts, rejected, endReports, renewFailures tally.Counter
 	// commandAge is the time from link.Commands.AsOfMS until the message is handled.
 	commandAge tally.Histogram
+	// evacuated is 1 while the worker's zone is evacuated, evacuationRefusals counts the
+	// starts that were refused for this reason.
+	evacuated          tally.Gauge
+	evacuationRefusals tally.Counter
 }
 
 // New opens the listener for entries. Call Run to start the agent.
@@ -146,6 +153,7 @@
 		metrics: metrics{
 			starts: o.Metrics.Counter("run_starts_total"), rejected: o.Metrics.Counter("run_starts_rejected_total"),
 			endReports: o.Metrics.Counter("run_reports_total"), renewFailures: o.Metrics.Counter("lease_renewals_failed_total"),
+			evacuated: o.Metrics.Gauge("zone_evacuated"), evacuationRefusals: o.Metrics.Counter("run_starts_refused_evacuated_total"),
 			commandAge: o.Metrics.Histogram("command_age_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 10)),
 		},
 	}, nil
@@ -222,6 +230,7 @@
 	now := clock.SinceBoot()
 	out := a.state.TakeActions(now)
 	a.workerBorn.Store(a.state.WorkerBorn())
+	a.recordEvacuation()
 	for _, c := range out.Starts {
 		select {
 		case a.starts <- c:
@@ -260,6 +269,18 @@
 	a.opts.Log.Add(out.LogLines...)
 }
 
+// recordEvacuation brings the metrics of the evacuated zone up to date.
+func (a *Agent) recordEvacuation() {
+	evacuated, refusals := a.state.Evacuated()
+	a.metrics.evacuationRefusals.Inc(refusals - a.evacuationRefusals)
+	a.evacuationRefusals = refusals
+	value := 0.0
+	if evacuated {
+		value = 1
+	}
+	a.metrics.evacuated.Update(value)
+}
+
 // enqueue passes an event to the event loop. It returns false if the event loop
 // has ended.
 func (a *Agent) enqueue(f func(now time.Duration)) bool {
