--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -126,9 +126,11 @@
 	worker     *site.Worker
 	// closeWorker closes the worker's listener and connections; its runs go on.
 	closeWorker func()
-	ctx         context.Context
-	terminate   context.CancelFunc
-	exited      chan struct{}
+	// zone is that of workers that are started; empty means z1.
+	zone      string
+	ctx       context.Context
+	terminate context.CancelFunc
+	exited    chan struct{}
 }
 
 // writeSettings writes the settings file of a process and returns the settings read
@@ -190,8 +192,12 @@
 // startAgent starts an agent and its worker, which has capacity for four tasks of
 // four cores each.
 func (d *deployment) startAgent(name string, speed float64) *testProcess {
+	return d.startAgentInZone("", name, speed)
+}
+
+func (d *deployment) startAgentInZone(zone, name string, speed float64) *testProcess {
 	list := freePorts(d.C, 6)
-	p := &testProcess{deployment: d, name: name, agent: true, settings: d.writeSettings(name, true, list)}
+	p := &testProcess{deployment: d, name: name, agent: true, zone: zone, settings: d.writeSettings(name, true, list)}
 	d.startProcess(p)
 	p.worker = d.startWorker(p, "worker-"+name, speed)
 	return p
@@ -201,7 +207,7 @@
 // end of the test, or by p.closeWorker.
 func (d *deployment) startWorker(p *testProcess, id string, speed float64) *site.Worker {
 	w := site.NewWorker(site.WorkerOptions{
-		ID: id, Service: "service", MilliCPU: 16000, Speed: speed, AgentAddress: p.settings.ControlAddress,
+		ID: id, Service: "service", Zone: p.zone, MilliCPU: 16000, Speed: speed, AgentAddress: p.settings.ControlAddress,
 		Interval: 200 * time.Millisecond, Audit: d.audit,
 	})
 	l, err := net.Listen("tcp", p.settings.WorkerAddress)
--- a/standin/site/audit.go
+++ b/standin/site/audit.go
@@ -16,22 +16,32 @@
 	running    map[string]string
 	starts     map[string]int
 	violations []string
+	// startsInZone counts the task starts by the zone of their worker. A start in a zone of
+	// closedFrom after that time is a violation.
+	startsInZone map[string]int
+	closedFrom   map[string]time.Time
 	// delays describe when a worker was late itself.
 	delays []string
 }
 
 // NewAudit returns an empty Audit.
-func NewAudit() *Audit { return &Audit{running: map[string]string{}, starts: map[string]int{}} }
+func NewAudit() *Audit {
+	return &Audit{running: map[string]string{}, starts: map[string]int{}, startsInZone: map[string]int{}, closedFrom: map[string]time.Time{}}
+}
 
 // begin records the start of a run. It is a violation if the task is already
-// running.
-func (a *Audit) begin(task, worker string, attempt uint32) {
+// running, or the zone closed.
+func (a *Audit) begin(task, worker, zone string, attempt uint32) {
 	a.trace("run of task %s attempt %d begins on %s", task, attempt, worker)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if other, ok := a.running[task]; ok {
 		a.violations = append(a.violations, fmt.Sprintf("%s task %s runs on %s and %s at the same time", time.Now().UTC().Format("05.000"), task, other, worker))
 	}
+	if from, ok := a.closedFrom[zone]; ok && time.Now().After(from) {
+		a.violations = append(a.violations, fmt.Sprintf("%s task %s starts on %s in zone %s, %v after it was closed", time.Now().UTC().Format("05.000"), task, worker, zone, time.Since(from).Round(time.Millisecond)))
+	}
+	a.startsInZone[zone]++
 	a.running[task] = worker
 	a.starts[task]++
 }
@@ -79,6 +89,28 @@
 	return append([]string{}, a.violations...)
 }
 
+// CloseZone makes each start of a task on a worker of the zone later than a time a violation,
+// until OpenZone.
+func (a *Audit) CloseZone(zone string, from time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closedFrom[zone] = from
+}
+
+// OpenZone ends the effect of CloseZone.
+func (a *Audit) OpenZone(zone string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.closedFrom, zone)
+}
+
+// StartsInZone returns the number of task starts on the workers of a zone.
+func (a *Audit) StartsInZone(zone string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.startsInZone[zone]
+}
+
 // Starts returns the number of task starts of a job. The ID of a task begins with
 // that of its job.
 func (a *Audit) Starts(job string) int {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,6 +56,8 @@
 type WorkerOptions struct {
 	ID      string
 	Service string
+	// Zone is the availability zone; empty means z1.
+	Zone string
 	// MilliCPU is the capacity in thousandths of a core.
 	MilliCPU int64
 	// Speed divides the run time of tasks.
@@ -182,6 +185,8 @@
 	}
 }
 
+func (w *Worker) zone() string { return cmp.Or(w.options.Zone, "z1") }
+
 func (w *Worker) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.announce(ctx)
@@ -196,7 +201,7 @@
 	w.mu.Lock()
 	w.seq++
 	body, _ := json.Marshal(map[string]any{
-		"service": w.options.Service, "address": "127.0.0.1:0", "zone": "z1", "version": "v1", "slots": 8, "state": w.state,
+		"service": w.options.Service, "address": "127.0.0.1:0", "zone": w.zone(), "version": "v1", "slots": 8, "state": w.state,
 		"cold_left_ms": 0, "capacity": map[string]any{"cpu": w.options.MilliCPU, "mem_mb": 131072, "gpu": 0}, "labels": []string{"a", "r1-1"},
 		"clock_ms": w.clock(), "seq_no": w.seq, "born": w.Born(),
 	})
@@ -377,7 +382,7 @@
 	}
 	w.extend(req.DeadlineMS)
 	w.runs[req.Task] = &workerRun{task: req.Task, attempt: req.Attempt, spec: spec}
-	w.options.Audit.begin(req.Task, w.options.ID, req.Attempt)
+	w.options.Audit.begin(req.Task, w.options.ID, w.zone(), req.Attempt)
 	return ""
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -105,6 +105,13 @@
 	s.commit([]row{{Table: table, Key: key, Value: value}}, nil)
 }
 
+// Remove removes a row on behalf of the operator of the platform, like Put.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commit(nil, []row{{Table: table, Key: key}})
+}
+
 // DropHistory drops the history of changes up to the current version. Feed requests
 // that resume from an older version are then answered with status 410.
 func (s *Store) DropHistory() {
