Evacuate a zone in the soak test

Each run of the command now puts the workers into two zones and has one of them evacuated for 5.5 to 7.5 s, in half of the runs after a brief evacuation before, beside the other faults. It is a violation if a task starts there later than 5 s after the row was written, or if none starts there after the restoration. Runs are 6 s longer; -evacuate=false leaves it out, and the faults of a seed stay as they were.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	agents         []*process
 	version        int
 	workersStarted atomic.Int64
+	// twoZones puts every second worker into zone z2.
+	twoZones bool
 
 	mu         sync.Mutex
 	violations []string
@@ -290,10 +293,18 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// zoneOf returns the zone of an agent's worker.
+func (d *deployment) zoneOf(p *process) string {
+	if d.twoZones && slices.Index(d.agents, p)%2 == 1 {
+		return "z2"
+	}
+	return "z1"
+}
+
 // startWorker starts a worker instance for an agent.
 func (d *deployment) startWorker(p *process, id string, speed float64) {
 	w := site.NewWorker(site.WorkerOptions{
-		ID: id, Service: "s", MilliCPU: workerMilliCPU, Speed: speed, AgentAddress: p.controlAddr, Interval: announceInterval, Audit: d.audit, HideStopping: d.workersStarted.Load()%2 == 0,
+		ID: id, Service: "s", Zone: d.zoneOf(p), MilliCPU: workerMilliCPU, Speed: speed, AgentAddress: p.controlAddr, Interval: announceInterval, Audit: d.audit, HideStopping: d.workersStarted.Load()%2 == 0,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	instance := &workerInstance{id: id, speed: speed, worker: w, cancel: cancel, server: &http.Server{Handler: w}}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// trafficTime is how long callers send jobs, startTimeout how long the
-	// deployment may take until it serves.
-	trafficTime  = 6 * time.Second
-	startTimeout = 5 * time.Second
+	// trafficTime is how long callers send jobs, evacuationTrafficTime the same if a zone is
+	// evacuated. startTimeout is how long the deployment may take until it serves.
+	trafficTime           = 6 * time.Second
+	evacuationTrafficTime = 12 * time.Second
+	startTimeout          = 5 * time.Second
 	// resendDelay is how long a caller waits before it resends a job without an
 	// answer. It equals bounds.retransmit_ms in the settings written by prepare.
 	resendDelay = 1300 * time.Millisecond
@@ -47,10 +48,19 @@
 	FaultsPerSecond, LifeFaultsPerSecond, HostFaultsPerSecond float64
 	// Out receives a line for each injected fault and one summary line.
 	Out io.Writer
+	// EvacuateZone has one of two zones evacuated for longer than evacuationBound.
+	EvacuateZone bool
 	// completed and sent count the jobs of the run.
 	completed, sent int
 }
 
+func (o *Options) trafficTime() time.Duration {
+	if o.EvacuateZone {
+		return evacuationTrafficTime
+	}
+	return trafficTime
+}
+
 // Run runs a deployment with the faults of one seed and returns a description of
 // each violation. An error means that the deployment could not be started.
 func Run(o Options) ([]string, error) {
@@ -62,6 +72,7 @@
 		return nil, err
 	}
 	defer d.close()
+	d.twoZones = o.EvacuateZone
 	d.startProcesses()
 	d.startWorkers()
 	if !d.waitAllServing(startTimeout) {
@@ -75,12 +86,19 @@
 	if o.HostFaultsPerSecond > 0 {
 		wg.Go(func() { d.injectFaults(&o, hostFaults, o.HostFaultsPerSecond, rand.New(rand.NewPCG(o.Seed, 4))) })
 	}
+	var evacuated string
+	if o.EvacuateZone {
+		wg.Go(func() { evacuated = d.evacuateZone(&o, rand.New(rand.NewPCG(o.Seed, 5))) })
+	}
 	d.sendJobs(&o)
 	wg.Wait()
 	if !d.waitAllServing(recoveryTimeout) {
 		d.violation("not every entry serves within %v after the last fault", recoveryTimeout)
 	}
 	d.checkConfig()
+	if evacuated != "" {
+		d.checkZoneUsed(evacuated)
+	}
 	time.Sleep(settleTime)
 	for _, p := range d.agents {
 		if n := p.currentWorker().worker.Running(); n > 0 {
@@ -100,7 +118,7 @@
 // its duration.
 func (d *deployment) injectFaults(o *Options, list []fault, perSecond float64, r *rand.Rand) {
 	var wg sync.WaitGroup
-	deadline := time.Now().Add(trafficTime)
+	deadline := time.Now().Add(o.trafficTime())
 	for {
 		wait := time.Duration(r.ExpFloat64() / perSecond * float64(time.Second))
 		if time.Now().Add(wait).After(deadline) {
@@ -131,7 +149,7 @@
 	var mu sync.Mutex
 	ticker := time.NewTicker(time.Second / jobsPerSecond)
 	defer ticker.Stop()
-	for n := range int(trafficTime/time.Second) * jobsPerSecond {
+	for n := range int(o.trafficTime()/time.Second) * jobsPerSecond {
 		<-ticker.C
 		id := fmt.Sprintf("%08x%08x", uint32(o.Seed), n)
 		tasks, workMS := 1+r.IntN(4), 20+r.IntN(400)
--- a/standin/site/audit.go
+++ b/standin/site/audit.go
@@ -20,13 +20,15 @@
 	// closedFrom after that time is a violation.
 	startsInZone map[string]int
 	closedFrom   map[string]time.Time
+	// lastStart is the time of the last start by zone.
+	lastStart map[string]time.Time
 	// delays describe when a worker was late itself.
 	delays []string
 }
 
 // NewAudit returns an empty Audit.
 func NewAudit() *Audit {
-	return &Audit{running: map[string]string{}, starts: map[string]int{}, startsInZone: map[string]int{}, closedFrom: map[string]time.Time{}}
+	return &Audit{running: map[string]string{}, starts: map[string]int{}, startsInZone: map[string]int{}, closedFrom: map[string]time.Time{}, lastStart: map[string]time.Time{}}
 }
 
 // begin records the start of a run. It is a violation if the task is already
@@ -42,6 +44,7 @@
 		a.violations = append(a.violations, fmt.Sprintf("%s task %s starts on %s in zone %s, %v after it was closed", time.Now().UTC().Format("05.000"), task, worker, zone, time.Since(from).Round(time.Millisecond)))
 	}
 	a.startsInZone[zone]++
+	a.lastStart[zone] = time.Now()
 	a.running[task] = worker
 	a.starts[task]++
 }
@@ -111,6 +114,13 @@
 	return a.startsInZone[zone]
 }
 
+// LastStart returns when a task last started on a worker of a zone.
+func (a *Audit) LastStart(zone string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lastStart[zone]
+}
+
 // Starts returns the number of task starts of a job. The ID of a task begins with
 // that of its job.
 func (a *Audit) Starts(job string) int {
