Test that an entry without the store learns of evacuated zones

The entry's reads, also the one under way, get no answer from the moment at which the row is written; it must learn of the zone from another entry within 4 s, and of its return.

--- a/host/evacuation_test.go
+++ b/host/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,3 +80,40 @@
 	d.store.Remove(platform.ConfigTable, platform.EvacuationPrefix+"z1")
 	d.waitUntilServing(entry)
 }
+
+// Guards against an entry that is cut off from the store and learns of an evacuated zone later
+// than the operator may expect, or not at all.
+func TestEntryCutOffFromTheStoreLearnsOfAnEvacuatedZone(t *testing.T) {
+	d := newDeployment(t)
+	var silent atomic.Bool
+	link := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply := httptest.NewRecorder()
+		if !silent.Load() {
+			d.store.ServeHTTP(reply, r)
+		}
+		// Also a read that was under way gets no answer.
+		if silent.Load() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(reply.Code)
+		_, _ = w.Write(reply.Body.Bytes())
+	}))
+	t.Cleanup(func() { link.CloseClientConnections(); link.Close() })
+	d.startEntry("e1")
+	direct := d.storeAddress
+	d.storeAddress = link.Listener.Addr().String()
+	cutOff := d.startEntry("e2")
+	d.storeAddress = direct
+	d.startAgent("a1", 1)
+	d.waitUntilServing(cutOff)
+	silent.Store(true)
+	d.store.Put(platform.ConfigTable, platform.EvacuationPrefix+"z1", nil)
+	began := time.Now()
+	d.eventually("the entry is told", 4*time.Second, func() bool { return len(d.log.lines("zone evacuated", `"host":"e2"`)) == 1 })
+	t.Logf("known after %v", time.Since(began))
+	d.store.Remove(platform.ConfigTable, platform.EvacuationPrefix+"z1")
+	began = time.Now()
+	d.eventually("the entry is told of the return", 4*time.Second, func() bool { return len(d.log.lines("zone restored", `"host":"e2"`)) == 1 })
+	t.Logf("restored after %v", time.Since(began))
+}
