--- a/bench/interleaving/entry_test.go
+++ b/bench/interleaving/entry_test.go
@@ -43,6 +43,7 @@
 		RestartDelay: e.w.timings.RestartDelay, RackSlowdown: 1, Zone: "z", Seed: e.incarnation*100 + uint64(e.name[1]), StartedAt: e.now, MaxWaitingJobs: 2000,
 	})
 	e.links, e.waiters, e.open, e.lastWake = map[string]*entryLink{}, map[string][]*submission{}, nil, e.now
+	e.scheduler.SetEvacuated(e.now, e.w.evacuations, e.w.evacuatedZones())
 	e.tick = func(time.Duration) {
 		now := e.checkSuspension()
 		e.pingAgents(now)
@@ -149,7 +150,7 @@
 			continue
 		}
 		if ping {
-			e.send(now, l, &link.Commands{Waiting: e.scheduler.HasWaitingJobs(), Inactive: !active})
+			e.send(now, l, &link.Commands{Waiting: e.scheduler.HasWaitingJobs(), Inactive: !active, Evacuation: e.scheduler.Evacuation(a.name)})
 		}
 	}
 }
@@ -174,7 +175,7 @@
 			e.w.note(c.Starts[j].Task.Job, e.name, "start of %v attempt %d sent to %s", c.Starts[j].Task, c.Starts[j].Attempt, c.Worker)
 		}
 		e.send(now, e.links[c.Worker], &link.Commands{
-			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive,
+			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: e.scheduler.Evacuation(c.Worker),
 		})
 	}
 	for _, answer := range out.Answers {
--- a/bench/interleaving/faults_test.go
+++ b/bench/interleaving/faults_test.go
@@ -26,12 +26,16 @@
 	restartWorker
 	bornBack
 	callsCrossLives
+	// faultKinds is the number of kinds that newScenario draws together.
 	faultKinds
 )
 
+// evacuateZone is drawn apart, so that a seed keeps the kinds that it had before.
+const evacuateZone = faultKinds
+
 var kindNames = []string{
 	"cut-pair", "cut-host", "silent-conns", "reset-conns", "delays", "kill-entry", "kill-agent", "freeze-entry", "freeze-agent", "slow-entry", "slow-agent",
-	"caller-reset", "lossy-worker", "slow-answers", "restart-worker", "born-back", "calls-cross-lives",
+	"caller-reset", "lossy-worker", "slow-answers", "restart-worker", "born-back", "calls-cross-lives", "evacuate-zone",
 }
 
 func (k faultKind) String() string { return kindNames[k] }
@@ -177,6 +181,12 @@
 	case callsCrossLives:
 		return "calls of former lives are carried out", func() { w.callsCrossLives = true }
 	}
+	if k == evacuateZone {
+		if r.IntN(2) == 0 {
+			length += evacuationBound
+		}
+		return fmt.Sprintf("evacuate zone %s for %v", evacuatedZone, length), func() { w.evacuate(length) }
+	}
 	panic("unknown fault")
 }
 
--- a/bench/interleaving/worker_test.go
+++ b/bench/interleaving/worker_test.go
@@ -100,7 +100,7 @@
 		}
 		k.sequence++
 		a := runner.Announcement{
-			ID: k.id, Born: k.born, Sequence: k.sequence, Service: "s", Zone: "z", Capacity: link.Resources{MilliCPU: workerCapacity},
+			ID: k.id, Born: k.born, Sequence: k.sequence, Service: "s", Zone: k.zone(), Capacity: link.Resources{MilliCPU: workerCapacity},
 		}
 		k.w.after(latency, func() { k.agent.announced(a) })
 		k.w.after(heartbeatInterval, beat)
--- a/bench/interleaving/world_test.go
+++ b/bench/interleaving/world_test.go
@@ -44,6 +44,9 @@
 			s.kinds = append(s.kinds, k)
 		}
 	}
+	if rand.New(rand.NewPCG(seed, 3)).IntN(4) == 0 {
+		s.kinds = append(s.kinds, evacuateZone)
+	}
 	slices.Sort(s.kinds)
 	return s
 }
@@ -108,6 +111,9 @@
 	completed, sent int
 	runsStarted     int
 	starts          map[startKey]startInfo
+	// evacuations is the version of evacuatedSince, which is 0 while no zone is evacuated.
+	evacuations    uint64
+	evacuatedSince time.Duration
 }
 
 // startKey is an agent, or an entry and an agent, and a run.
@@ -283,6 +289,9 @@
 		w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("task %d.%d: attempt %d begins on %s life %d while attempt %d runs on %s life %d since %v",
 			r.task.Step, r.task.Index, r.attempt, k.agent.name, k.life, o.run.attempt, o.worker.agent.name, o.life, o.started), 0, classify(o.run, r)})
 	}
+	if k.zone() == evacuatedZone && w.evacuatedSince > 0 && w.now-w.evacuatedSince > evacuationBound {
+		w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("EVACUATED: run on %s, zone evacuated since %v", k.agent.name, w.evacuatedSince), 0, "evacuated"})
+	}
 	w.executing[r.task] = append(w.executing[r.task], execution{k, k.life, r, w.now})
 	if n := len(k.runs); n*taskNeed > workerCapacity {
 		w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("CAPACITY: %d runs on %s", n, k.agent.name), 0, "capacity"})
