Refuse jobs for evacuated zones only if no other worker was available

Callers got 503 "the operator has evacuated the zones of all workers for it" when the connections to the workers of other zones broke for a moment, also for jobs that waited already. When all zones were evacuated and their workers drained or were disconnected as well, jobs were not refused at once and waited until their deadline.

The rule counted only workers that were connected and accepting at that moment. It now counts every known worker of the service and label, and refuses only if one of them is in an evacuated zone and no other one has been available (connected and accepting, or newly connected) for the restart delay, after which the entry gives up the tasks of a lost worker as well. The message says just this, and the removal of a worker from the directory updates the result.

--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,8 @@
 	// zoneCheckDelay is how long after a zone was evacuated it is checked that it has a
 	// worker. A deployment that starts has connected its agents by then.
 	zoneCheckDelay = 10 * time.Second
+	// evacuationMessage is the message of a job that is refused because of evacuated zones.
+	evacuationMessage = "no worker for it is available outside the zones that the operator has evacuated"
 )
 
 // evacuation is the state of the zones that the operator has evacuated.
@@ -28,8 +31,8 @@
 	since map[string]time.Duration
 	// unchecked holds the zones that may turn out to have no worker.
 	unchecked map[string]bool
-	// runnable caches the result of runnableNow. It is cleared whenever a worker changes.
-	runnable map[workerKind]bool
+	// runnableUntil caches the result of that method. It is cleared whenever a worker changes.
+	runnableUntil map[workerKind]time.Duration
 	// refusals counts the jobs that were refused because of evacuated zones.
 	refusals int64
 }
@@ -142,14 +145,15 @@
 	return link.Evacuation{}
 }
 
-// refuseEvacuated refuses a job with a step that only workers of evacuated zones may run. It
-// returns nil if there is none, or while the workers are becoming known after the start.
+// refuseEvacuated refuses a job with a step for which no worker outside evacuated zones is
+// available. It returns nil if there is no such step, or while the workers are becoming known
+// after the start.
 func (s *Scheduler) refuseEvacuated(now time.Duration, j *job) *api.Verdict {
 	if !s.blockedByEvacuation(now, j) {
 		return nil
 	}
 	s.evacuation.refusals++
-	v := api.Refuse(api.ReasonOverload, "the operator has evacuated the zones of all workers for it")
+	v := api.Refuse(api.ReasonOverload, evacuationMessage)
 	v.RetryAfter = evacuationRetryAfter
 	return v
 }
@@ -158,24 +162,36 @@
 	if len(s.evacuation.since) == 0 || now-s.opts.StartedAt < warmUpPeriod {
 		return false
 	}
-	return slices.ContainsFunc(j.Steps, func(st Step) bool { return !s.runnableNow(j.Service, &st) })
+	return slices.ContainsFunc(j.Steps, func(st Step) bool { return now >= s.runnableUntil(j.Service, &st) })
 }
 
-// runnableNow returns false if workers of evacuated zones may run a step and no others may.
-// Workers that are inactive or full count, those that accept no tasks don't.
-func (s *Scheduler) runnableNow(service string, st *Step) bool {
+// runnableUntil returns until when a step waits for a worker, as far as evacuated zones are
+// concerned: if a worker that may run it is in an evacuated zone, until no other one has been
+// available for the restart delay. After that time the entry also places the tasks of a lost
+// worker elsewhere; a worker whose connection broke or that restarts is mostly back before.
+// Workers that are inactive or full are available.
+func (s *Scheduler) runnableUntil(service string, st *Step) time.Duration {
 	kind := workerKind{service, st.RequiredLabel}
-	if known, ok := s.evacuation.runnable[kind]; ok {
-		return known
+	if until, ok := s.evacuation.runnableUntil[kind]; ok {
+		return until
 	}
-	evacuated, others := false, false
+	evacuated, until := false, time.Duration(0)
 	for _, w := range s.workersByName {
-		if w.connected && w.accepting && w.state.Service == service && st.permits(w) {
-			evacuated, others = evacuated || w.evacuated, others || !w.evacuated
+		switch {
+		case w.state.Service != service || !st.permits(w):
+		case w.evacuated:
+			evacuated = true
+		case w.connected && w.accepting:
+			until = math.MaxInt64
+		default:
+			until = max(until, w.lastAvailable+s.opts.RestartDelay)
 		}
 	}
-	s.evacuation.runnable[kind] = others || !evacuated
-	return others || !evacuated
+	if !evacuated {
+		until = math.MaxInt64
+	}
+	s.evacuation.runnableUntil[kind] = until
+	return until
 }
 
 // checkZones logs the evacuated zones that turn out to have no worker: the row may name a
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -27,7 +27,7 @@
 		slices.SortFunc(s.workersByName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 		s.byActivation = nil
 	}
-	w.connected, w.reported, w.zoneReported, w.active, w.activeSince = true, false, false, true, now
+	w.connected, w.reported, w.zoneReported, w.active, w.activeSince, w.lastAvailable = true, false, false, true, now, now
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
@@ -57,6 +57,9 @@
 	if w == nil || !w.connected {
 		return
 	}
+	if w.accepting {
+		w.lastAvailable = now
+	}
 	w.connected = false
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
@@ -92,6 +95,7 @@
 		delete(s.workers, name)
 		s.workersByName = slices.DeleteFunc(s.workersByName, func(o *worker) bool { return o == w })
 		s.byActivation = nil
+		s.workersChanged()
 	}
 }
 
@@ -111,6 +115,9 @@
 	} else if w.reported && w.accepting != r.Accepting {
 		s.log(decisions.Info("worker changed whether it accepts tasks", "worker", name, "accepting", r.Accepting))
 	}
+	if w.accepting && !r.Accepting {
+		w.lastAvailable = now
+	}
 	w.reported, w.accepting, w.free = true, r.Accepting, r.Free
 	w.speed, w.failureRate = clamp(r.Speed, minSpeed, maxReportedSpeed), clamp(r.FailureRate, 0, 1)
 	for i := range r.Answers {
@@ -151,7 +158,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
-	clear(s.evacuation.runnable)
+	clear(s.evacuation.runnableUntil)
 	s.placementDue = true
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -96,6 +96,9 @@
 	connected bool
 	state     link.WorkerState
 	accepting bool
+	// lastAvailable is when the worker last connected, or stopped being connected and
+	// accepting tasks, whichever is later.
+	lastAvailable time.Duration
 	// reported says whether the agent has sent a report on its current connection, and
 	// since the worker became active.
 	reported bool
@@ -182,7 +185,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
-		evacuation: evacuation{unchecked: map[string]bool{}, runnable: map[workerKind]bool{}},
+		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
 
