Keep the state of the zone in a message that a freeze has delayed

An agent that was frozen while its zone was evacuated took starts in the zone, from entries that didn't know yet, until the next message with the state arrived over a new connection.

After a freeze the agent drops all connections, and the messages that were queued on them were ignored as a whole. The state of the zone is now taken from them as well. It can't be outdated by the freeze, because a state only replaces one of an older version.

--- a/runner/entries.go
+++ b/runner/entries.go
@@ -63,13 +63,15 @@
 func (s *State) HandleCommands(now time.Duration, id ConnID, c *link.Commands) {
 	s.detectSuspension(now)
 	conn := s.conns[id]
+	// The state of the zone counts whether or not the connection still does: its version
+	// shows whether it is newer than the known one.
+	s.learnEvacuation(conn, c.Evacuation)
 	if conn == nil {
 		return
 	}
 	conn.asOf = max(conn.asOf, min(now, time.Duration(c.AsOfMS)*time.Millisecond))
 	becameActive := conn.inactive && !c.Inactive
 	conn.lastHeardAt, conn.sequence, conn.waiting, conn.inactive = now, c.Sequence, c.Waiting, c.Inactive
-	s.learnEvacuation(conn, c.Evacuation)
 	// A ping shortly after a report needs no answer: the entry has just heard from
 	// this agent. Commands have answers of their own, within a few milliseconds.
 	isPing := len(c.Claims)+len(c.Stops)+len(c.Starts) == 0
--- a/runner/evacuation.go
+++ b/runner/evacuation.go
@@ -19,16 +19,22 @@
 
 // learnEvacuation takes over the state of the zone in a message from an entry, unless it is
 // older than the known one. Of equal versions the later one counts: an entry that didn't know
-// yet that the worker's zone has changed corrects itself.
+// yet that the worker's zone has changed corrects itself. conn is nil if the connection was
+// dropped before the message was handled.
 func (s *State) learnEvacuation(conn *entryConn, e link.Evacuation) {
 	known := s.evacuation.state
 	if e.Version == 0 || e.Version < known.Version {
 		return
 	}
 	s.evacuation.state = e
-	if e.Evacuated != known.Evacuated {
-		s.logEvacuation(e, "entry", conn.entry)
+	if e.Evacuated == known.Evacuated {
+		return
+	}
+	entry := "not connected any more"
+	if conn != nil {
+		entry = conn.entry
 	}
+	s.logEvacuation(e, "entry", entry)
 }
 
 // setZone records the worker's zone. What entries said of another zone doesn't apply.
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -123,6 +124,23 @@
 	f.Assert(f.takes(1, "j"), qt.IsFalse)
 }
 
+// Load: the agent is frozen while its zone is evacuated, and the message that says so waits in
+// its queue. Guards against starts by entries that don't know yet after the agent has dropped
+// the connection of that message, or any connection, because of the freeze.
+func TestZoneIsEvacuatedWhileTheAgentIsFrozen(t *testing.T) {
+	f := newFixtureWithTwoEntries(t)
+	f.now += 2 * time.Second
+	f.evacuated(1, 5, true)
+	f.Assert(f.closedConns, qt.HasLen, 2)
+	f.s.EntryConnected(f.now, 3, link.Hello{Entry: "e2", Incarnation: 12})
+	f.answerRenewal()
+	f.Assert(f.s.accepting(), qt.IsTrue)
+	f.Assert(f.takes(3, "a"), qt.IsFalse)
+	f.evacuated(3, 7, false)
+	f.evacuated(1, 6, true)
+	f.Assert(f.takes(3, "b"), qt.IsTrue)
+}
+
 // Guards against a log line for each message of each entry.
 func TestEvacuationIsLoggedOnce(t *testing.T) {
 	f := newFixtureWithTwoEntries(t)
