Ignore the state of a zone that is about an earlier state of the worker

After a worker had come back in another zone, the agent could refuse all starts although that zone was not evacuated, until the operator's table changed: a message about the former zone, sent by another entry before it knew of the change, had the same version as the right state and replaced it.

The state of the zone now carries the revision of the worker for which it holds, which changes with the zone, and the agent ignores it if its worker has another one. An entry replies to the report of each revision, so nothing is lost. The revision takes 1 byte in each message up to 127, the name of the zone would take 1 more than its length.

--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -140,7 +140,7 @@
 // agent has not reported the zone on its present connection.
 func (s *Scheduler) Evacuation(name string) link.Evacuation {
 	if w := s.workers[name]; w != nil && w.connected && w.zoneReported {
-		return link.Evacuation{Version: s.evacuation.version, Evacuated: w.evacuated}
+		return link.Evacuation{Version: s.evacuation.version, Evacuated: w.evacuated, WorkerRevision: w.state.Revision}
 	}
 	return link.Evacuation{}
 }
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -122,10 +122,10 @@
 	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
 
 	// The agent may still have the state that was sent for its former zone.
-	state.Zone = "c"
+	state.Zone, state.Revision = "c", 4
 	h.report("w1", 8, 1, &link.Report{Worker: &state})
 	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
-	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 6})
+	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 6, WorkerRevision: 4})
 	h.evacuate(7)
 	h.Assert(h.told(), qt.HasLen, 0)
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -102,6 +102,9 @@
 	// state with the highest version counts, whichever entry it comes from.
 	Version   uint64
 	Evacuated bool
+	// WorkerRevision is that of the WorkerState with the zone. The agent ignores the state
+	// if its worker has changed since.
+	WorkerRevision uint64
 }
 
 // Demand describes the tasks of an entry that wait for free capacity and can still be on
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -159,10 +159,11 @@
 	}
 	o = msgp.AppendBool(o, z.Waiting)
 	o = msgp.AppendBool(o, z.Inactive)
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Evacuation.Version)
 	o = msgp.AppendBool(o, z.Evacuation.Evacuated)
+	o = msgp.AppendUint64(o, z.Evacuation.WorkerRevision)
 	o, err = z.Demand.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Demand")
@@ -328,8 +329,8 @@
 		err = msgp.WrapError(err, "Evacuation")
 		return
 	}
-	if zb0008 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+	if zb0008 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0008}
 		return
 	}
 	z.Evacuation.Version, bts, err = msgp.ReadUint64Bytes(bts)
@@ -342,6 +343,11 @@
 		err = msgp.WrapError(err, "Evacuation", "Evacuated")
 		return
 	}
+	z.Evacuation.WorkerRevision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuation", "WorkerRevision")
+		return
+	}
 	bts, err = z.Demand.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Demand")
@@ -369,7 +375,7 @@
 	for za0004 := range z.Specs {
 		s += 1 + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Specs[za0004].Data)
 	}
-	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + z.Demand.Msgsize()
+	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + z.Demand.Msgsize()
 	return
 }
 
@@ -526,10 +532,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Evacuation) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Version)
 	o = msgp.AppendBool(o, z.Evacuated)
+	o = msgp.AppendUint64(o, z.WorkerRevision)
 	return
 }
 
@@ -541,8 +548,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
@@ -555,13 +562,18 @@
 		err = msgp.WrapError(err, "Evacuated")
 		return
 	}
+	z.WorkerRevision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WorkerRevision")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Evacuation) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
 	return
 }
 
--- a/runner/evacuation.go
+++ b/runner/evacuation.go
@@ -18,12 +18,11 @@
 }
 
 // learnEvacuation takes over the state of the zone in a message from an entry, unless it is
-// older than the known one. Of equal versions the later one counts: an entry that didn't know
-// yet that the worker's zone has changed corrects itself. conn is nil if the connection was
-// dropped before the message was handled.
+// older than the known one or about an earlier state of the worker, which may have had another
+// zone. conn is nil if the connection was dropped before the message was handled.
 func (s *State) learnEvacuation(conn *entryConn, e link.Evacuation) {
 	known := s.evacuation.state
-	if e.Version == 0 || e.Version < known.Version {
+	if e.Version == 0 || e.Version < known.Version || e.WorkerRevision != s.workerRevision {
 		return
 	}
 	s.evacuation.state = e
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -9,9 +9,10 @@
 	"github.com/sesamelift/sesamelift/link"
 )
 
-// evacuated sends the state of the zone as an entry read it at a version.
+// evacuated sends the state of the zone as an entry read it at a version, which knows the
+// worker.
 func (f *fixture) evacuated(conn ConnID, version uint64, evacuated bool) {
-	f.sendCommands(conn, &link.Commands{Evacuation: link.Evacuation{Version: version, Evacuated: evacuated}})
+	f.sendCommands(conn, &link.Commands{Evacuation: link.Evacuation{Version: version, Evacuated: evacuated, WorkerRevision: f.s.workerRevision}})
 }
 
 // takes reports whether the agent takes a start of an entry that knows nothing of evacuated
@@ -38,7 +39,7 @@
 func TestStartsAreRefusedInAnEvacuatedZone(t *testing.T) {
 	f := newFixtureWithTwoEntries(t)
 	f.startRun(1, start("goes-on", 0))
-	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("a", 0)}, Evacuation: link.Evacuation{Version: 5, Evacuated: true}})
+	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("a", 0)}, Evacuation: link.Evacuation{Version: 5, Evacuated: true, WorkerRevision: f.s.workerRevision}})
 	f.Assert(f.starts, qt.HasLen, 0)
 	f.Assert(f.takes(2, "b"), qt.IsFalse)
 	evacuated, refusals := f.s.Evacuated()
@@ -91,6 +92,7 @@
 		worker.Zone, worker.Sequence = "a", 1
 		f.Assert(f.announce(worker), qt.IsTrue)
 		f.evacuated(1, 5, true)
+		former := f.s.workerRevision
 		f.now += ms
 		f.answerRenewalOf(9)
 		again := announcement(9, false)
@@ -100,11 +102,15 @@
 		f.answerRenewalOf(9)
 		f.Assert(f.takes(2, "j"), qt.Equals, zone == "b")
 		if zone == "b" {
-			// A message that was under way speaks of the former zone, and its correction has
-			// the same version.
-			f.evacuated(1, 5, true)
+			// Messages that were under way are about the former zone, whose version may be that
+			// of the present one's state, or higher.
 			f.evacuated(1, 5, false)
+			for _, version := range []uint64{5, 6} {
+				f.sendCommands(2, &link.Commands{Evacuation: link.Evacuation{Version: version, Evacuated: true, WorkerRevision: former}})
+			}
 			f.Assert(f.takes(2, "k"), qt.IsTrue)
+			f.evacuated(1, 6, true)
+			f.Assert(f.takes(2, "l"), qt.IsFalse)
 		}
 	}
 }
@@ -146,6 +152,7 @@
 	f := newFixtureWithTwoEntries(t)
 	lines := 0
 	for _, e := range []link.Evacuation{{Version: 4}, {Version: 5, Evacuated: true}, {Version: 5, Evacuated: true}, {Version: 6, Evacuated: true}, {Version: 7}, {Version: 7}} {
+		e.WorkerRevision = f.s.workerRevision
 		f.receive(1, &link.Commands{Evacuation: e})
 		f.receive(2, &link.Commands{Evacuation: e})
 		lines += len(f.s.TakeActions(f.now).LogLines)
