Update the metrics of an evacuated zone only when they change

The agent wrote the gauge and the counter after each batch of events. It now writes the gauge once at the start and with each change, and the counter when starts were refused.

--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -122,8 +122,9 @@
 	state      *runner.State
 	conns      map[runner.ConnID]*link.Conn
 	lastConnID runner.ConnID
-	// evacuationRefusals is what the state last said of starts refused because the zone is
-	// evacuated.
+	// evacuated and evacuationRefusals are what the metrics of the evacuated zone show.
+	// evacuated is nil before the first update.
+	evacuated          *bool
 	evacuationRefusals int64
 }
 
@@ -269,11 +270,18 @@
 	a.opts.Log.Add(out.LogLines...)
 }
 
-// recordEvacuation brings the metrics of the evacuated zone up to date.
+// recordEvacuation updates the metrics of the evacuated zone if they have changed.
 func (a *Agent) recordEvacuation() {
 	evacuated, refusals := a.state.Evacuated()
-	a.metrics.evacuationRefusals.Inc(refusals - a.evacuationRefusals)
-	a.evacuationRefusals = refusals
+	if refusals != a.evacuationRefusals {
+		a.metrics.evacuationRefusals.Inc(refusals - a.evacuationRefusals)
+		a.evacuationRefusals = refusals
+	}
+	if a.evacuated != nil && *a.evacuated == evacuated {
+		return
+	}
+	shown := evacuated
+	a.evacuated = &shown
 	value := 0.0
 	if evacuated {
 		value = 1
