Test that agents are told of evacuated zones without a ping

TestMessagesCarryTheStateOfTheZone passed without the immediate message: a ping within 1 s carried the state as well, and the test waits for 2 s. The entry now sends no pings while the test waits.

--- a/dispatchd/evacuation_test.go
+++ b/dispatchd/evacuation_test.go
@@ -190,14 +190,26 @@
 	c.Assert(d.routes.Current(), qt.IsNotNil)
 }
 
-// Guards against an agent that isn't told that its zone is evacuated, or is told only with the
-// next ping: each message to it carries the state.
+// withoutPings lets the entry send no ping to the agent for an hour from its last message on,
+// and not take the agent for lost.
+func (e *runningEntry) withoutPings() {
+	done := make(chan struct{})
+	e.post(func(now time.Duration) {
+		l := &e.agents["w1"].liveness
+		l.LastSent, l.LastReceived = now+time.Hour, now+time.Hour
+		close(done)
+	})
+	<-done
+}
+
+// Guards against an agent that isn't told of a change of its zone's state, or is told only
+// with the next ping.
 func TestMessagesCarryTheStateOfTheZone(t *testing.T) {
 	e := startEntry(t)
 	states := make(chan link.Evacuation, 1000)
 	e.mu.Lock()
 	e.onCommands = func(c *link.Commands) { states <- c.Evacuation }
-	e.report(e.sequence, &link.Report{Worker: &link.WorkerState{Service: "s", Zone: "a", Capacity: link.Resources{MilliCPU: 8000}}})
+	e.report(e.sequence, &link.Report{Worker: &link.WorkerState{Service: "s", Zone: "a", Revision: 3, Capacity: link.Resources{MilliCPU: 8000}}})
 	e.mu.Unlock()
 	next := func(want link.Evacuation) {
 		e.Helper()
@@ -212,8 +224,12 @@
 			}
 		}
 	}
-	e.setEvacuations(directory.Evacuations{Version: 5, Zones: []string{"a"}})
-	next(link.Evacuation{Version: 5, Evacuated: true})
-	e.setEvacuations(directory.Evacuations{Version: 6, Zones: []string{"b"}})
-	next(link.Evacuation{Version: 6})
+	e.setEvacuations(directory.Evacuations{Version: 4, Zones: []string{"a"}})
+	next(link.Evacuation{Version: 4, Evacuated: true, WorkerRevision: 3})
+	e.withoutPings()
+	e.setEvacuations(directory.Evacuations{Version: 5, Zones: []string{"b"}})
+	next(link.Evacuation{Version: 5, WorkerRevision: 3})
+	e.withoutPings()
+	e.setEvacuations(directory.Evacuations{Version: 6, Zones: []string{"a"}})
+	next(link.Evacuation{Version: 6, Evacuated: true, WorkerRevision: 3})
 }
