Log when a full read is older than the evacuated zones in effect

After the store had been restored from a backup, or after a late answer of a repeated read, the operator's rows had no effect and the log didn't say why. The zones of a newer version stay in effect then, as they must. The entry now logs the first of several such reads with both versions and the numbers of zones.

--- a/dispatchd/evacuation_test.go
+++ b/dispatchd/evacuation_test.go
@@ -165,6 +165,21 @@
 	assertZones("")
 }
 
+// Load: the store is restored from a backup, or answers from a copy that lags behind. Guards
+// against rows without effect that the log doesn't explain, and against a line for each read.
+func TestOlderFullReadIsLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newEvacuationDispatcher(t)
+	for _, step := range []struct {
+		full    bool
+		version uint64
+		lines   int
+	}{{true, 20, 0}, {false, 10, 0}, {true, 10, 1}, {true, 11, 1}, {false, 12, 1}, {true, 20, 1}, {true, 19, 2}, {true, 20, 2}} {
+		d.applyConfigTable(rowsOf("zone-a"), step.full, step.version)
+		c.Assert(d.opts.Log.Waiting(), qt.Equals, step.lines, qt.Commentf("%+v", step))
+	}
+}
+
 // Guards against entries of an earlier release that are answered at once each time because
 // they don't say which zones they know, and against replies of theirs that restore a zone.
 func TestEvacuationsBesideAnEarlierRelease(t *testing.T) {
--- a/dispatchd/knowledge.go
+++ b/dispatchd/knowledge.go
@@ -41,6 +41,9 @@
 	evacuatedInStore     map[string]bool
 	evacuations          directory.Evacuations
 	evacuationsChangedAt uint64
+	// olderReadLogged says that a line was logged about full reads that are older than the
+	// zones in effect. It is cleared by a read that isn't.
+	olderReadLogged bool
 	// membersReadFailing and configReadFailing say whether the last read of the members
 	// or of the configuration from the store failed, or there was none yet.
 	membersReadFailing bool
@@ -190,11 +193,27 @@
 		}
 	}
 	zones := slices.Sorted(maps.Keys(d.cache.evacuatedInStore))
+	d.logOlderRead(full, version)
 	d.cache.mu.Unlock()
 	// What was read last from the store counts also if its version has not risen.
 	d.setEvacuations(directory.Evacuations{Version: version, Zones: zones})
 }
 
+// logOlderRead logs the first of several full reads that are older than the zones in effect.
+// The caller holds cache.mu.
+func (d *Dispatcher) logOlderRead(full bool, version uint64) {
+	inEffect := d.cache.evacuations.Version
+	if version >= inEffect {
+		d.cache.olderReadLogged = false
+		return
+	}
+	if full && !d.cache.olderReadLogged {
+		d.cache.olderReadLogged = true
+		d.opts.Log.Add(decisions.Warn("table read is older than the evacuated zones in effect, they stay", "version", version, "version_in_effect", inEffect,
+			"zones_in_effect", len(d.cache.evacuations.Zones), "zones_read", len(d.cache.evacuatedInStore)))
+	}
+}
+
 // mergeEvacuations puts the evacuated zones of another entry's reply in effect if they are
 // newer; nil if it has none. When it returns, the event loop has been passed all zones that
 // this entry knew when it sent the query, also those of a read that is being applied.
