Use literal words about evacuated zones

The description of the version in directory.Watch could be read as a promise that it rises with each call.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -139,8 +139,8 @@
 
 // Watch reads a table and then its changes until ctx ends. It calls apply with the
 // rows that it has read; full says that they are the whole table, and version is that of
-// the store at which they were read. It rises from call to call, but for a full read after
-// the first, which may be older than the read before. It calls setFailing
+// the store at which they were read. The version never decreases between calls, except with
+// a full read after the first, which may be older than the read before. It calls setFailing
 // with true when a read fails or has no answer in time, and with false after each read
 // that succeeds.
 func Watch(ctx context.Context, s Store, table string, log *decisions.Log, apply func(rows []Row, full bool, version uint64), setFailing func(bool)) {
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -20,8 +20,8 @@
 	return h
 }
 
-// told returns the workers to which the pending commands go.
-func (h *harness) told() (names []string) {
+// notifiedWorkers returns the workers to which the pending commands go.
+func (h *harness) notifiedWorkers() (names []string) {
 	for _, c := range h.takeActions() {
 		names = append(names, c.Worker)
 	}
@@ -41,7 +41,7 @@
 }
 
 // Guards against a start in an evacuated zone, whatever the load, also of a start that was
-// placed and not sent yet; and against a worker that stays unused after the zone's return.
+// placed and not sent yet; and against a worker that stays unused after the zone is restored.
 func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
 	h := newZonesHarness(t)
 	h.mustAccept(h.newJob("a", 8, 100*ms))
@@ -106,28 +106,28 @@
 	h.s.setActive(h.now, h.s.workers["w1"], false)
 	h.takeActions()
 	h.evacuate(5, "a")
-	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+	h.Assert(h.notifiedWorkers(), qt.DeepEquals, []string{"w1"})
 	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 5, Evacuated: true})
 	h.Assert(h.s.Evacuation("w2"), qt.Equals, link.Evacuation{Version: 5})
 	h.evacuate(6, "a")
-	h.Assert(h.told(), qt.HasLen, 0)
+	h.Assert(h.notifiedWorkers(), qt.HasLen, 0)
 
 	// The worker may have another zone when its agent is back: nothing is said before its report.
 	h.s.AgentDisconnected(h.now, "w1", "killed")
 	h.s.AgentConnected(h.now, "w1")
 	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{})
-	h.Assert(h.told(), qt.HasLen, 0)
+	h.Assert(h.notifiedWorkers(), qt.HasLen, 0)
 	state := h.s.workers["w1"].state
 	h.report("w1", 8, 1, &link.Report{Worker: &state})
-	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+	h.Assert(h.notifiedWorkers(), qt.DeepEquals, []string{"w1"})
 
 	// The agent may still have the state that was sent for its former zone.
 	state.Zone, state.Revision = "c", 4
 	h.report("w1", 8, 1, &link.Report{Worker: &state})
-	h.Assert(h.told(), qt.DeepEquals, []string{"w1"})
+	h.Assert(h.notifiedWorkers(), qt.DeepEquals, []string{"w1"})
 	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{Version: 6, WorkerRevision: 4})
 	h.evacuate(7)
-	h.Assert(h.told(), qt.HasLen, 0)
+	h.Assert(h.notifiedWorkers(), qt.HasLen, 0)
 }
 
 // Guards against a start by an entry that learns of a worker only after the evacuation.
@@ -143,7 +143,7 @@
 }
 
 // Load: the operator evacuates all zones. Guards against callers who wait for nothing, a
-// refusal that isn't true, and jobs that are still refused after the zones' return.
+// refusal that isn't true, and jobs that are still refused after the zones are restored.
 func TestAllZonesEvacuated(t *testing.T) {
 	h := newZonesHarness(t)
 	h.mustAccept(h.newJob("started", 1, 100*ms))
@@ -160,7 +160,7 @@
 	h.Assert(h.answers["started"] == nil, qt.IsTrue)
 	h.Assert(h.s.Stats().EvacuationRefusals, qt.Equals, int64(2))
 
-	// Workers that are full or about to become active are worth a wait.
+	// Workers that are full or about to become active can still run the job in time.
 	h.evacuate(6, "a")
 	h.s.setActive(h.now, h.s.workers["w2"], false)
 	h.mustAccept(h.newJob("waits", 1, 500*ms))
--- a/dispatchd/evacuation_test.go
+++ b/dispatchd/evacuation_test.go
@@ -46,7 +46,7 @@
 	return e.Version, strings.Join(e.Zones, " ")
 }
 
-// Guards against a zone that stays evacuated, or open, after changes and full reads of the
+// Guards against a zone that stays evacuated, or usable, after changes and full reads of the
 // table, with or without the configuration's row, and against other rows that count as zones.
 func TestEvacuatedZonesFollowTheTable(t *testing.T) {
 	c := qt.New(t)
--- a/host/evacuation_test.go
+++ b/host/evacuation_test.go
@@ -33,7 +33,7 @@
 
 	d.store.Put(platform.ConfigTable, platform.EvacuationPrefix+"z2", []byte("by the operator"))
 	d.eventually("the agent is told", 2*time.Second, func() bool { return len(d.log.lines("starts are refused", "z2")) == 1 })
-	d.audit.CloseZone("z2", time.Now())
+	d.audit.EvacuateZone("z2", time.Now())
 	submitSome := func(p *testProcess) {
 		d.Helper()
 		for range 5 {
@@ -53,7 +53,7 @@
 	d.eventually("the agent is told again", 5*time.Second, func() bool { return len(d.log.lines("starts are refused", "z2")) == 2 })
 	submitSome(second)
 
-	d.audit.OpenZone("z2")
+	d.audit.RestoreZone("z2")
 	d.store.Remove(platform.ConfigTable, platform.EvacuationPrefix+"z2")
 	before := d.audit.StartsInZone("z2")
 	d.eventually("the zone is used again", 2*time.Second, func() bool {
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -15,9 +15,9 @@
 	f.sendCommands(conn, &link.Commands{Evacuation: link.Evacuation{Version: version, Evacuated: evacuated, WorkerRevision: f.s.workerRevision}})
 }
 
-// takes reports whether the agent takes a start of an entry that knows nothing of evacuated
-// zones.
-func (f *fixture) takes(conn ConnID, job string) bool {
+// acceptsStart reports whether the agent accepts a start of an entry that knows nothing of
+// evacuated zones.
+func (f *fixture) acceptsStart(conn ConnID, job string) bool {
 	f.Helper()
 	f.sendCommands(conn, &link.Commands{Starts: []link.Start{start(job, 0)}})
 	if len(f.starts) > 0 {
@@ -35,13 +35,13 @@
 }
 
 // Guards against a start in an evacuated zone by an entry that is cut off from the store, or
-// by the message that brings the news; and against a run that ends because of the evacuation.
+// in the message that contains the new state; and against a run that ends because of the evacuation.
 func TestStartsAreRefusedInAnEvacuatedZone(t *testing.T) {
 	f := newFixtureWithTwoEntries(t)
 	f.startRun(1, start("goes-on", 0))
 	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("a", 0)}, Evacuation: link.Evacuation{Version: 5, Evacuated: true, WorkerRevision: f.s.workerRevision}})
 	f.Assert(f.starts, qt.HasLen, 0)
-	f.Assert(f.takes(2, "b"), qt.IsFalse)
+	f.Assert(f.acceptsStart(2, "b"), qt.IsFalse)
 	evacuated, refusals := f.s.Evacuated()
 	f.Assert(evacuated, qt.IsTrue)
 	f.Assert(refusals, qt.Equals, int64(2))
@@ -50,27 +50,27 @@
 	f.advance(50 * ms)
 	f.Assert(f.renew.LeaseUntil > 0, qt.IsTrue, qt.Commentf("the lease is renewed"))
 	f.evacuated(1, 6, false)
-	f.Assert(f.takes(2, "c"), qt.IsTrue)
+	f.Assert(f.acceptsStart(2, "c"), qt.IsTrue)
 }
 
-// Guards against an entry with an older state, or with none, that opens an evacuated zone or
-// closes a restored one: it was cut off from the store, or has just started.
+// Guards against an older state, or none, that replaces a newer one, whether the zone was
+// evacuated or restored since: its entry was cut off from the store, or has just started.
 func TestStateOfTheHighestVersionCounts(t *testing.T) {
 	f := newFixtureWithTwoEntries(t)
 	f.evacuated(1, 5, true)
 	f.evacuated(2, 4, false)
 	f.evacuated(2, 0, false)
-	f.Assert(f.takes(2, "a"), qt.IsFalse)
+	f.Assert(f.acceptsStart(2, "a"), qt.IsFalse)
 	f.evacuated(2, 6, false)
 	f.evacuated(1, 5, true)
-	f.Assert(f.takes(1, "b"), qt.IsTrue)
+	f.Assert(f.acceptsStart(1, "b"), qt.IsTrue)
 	// The zone is evacuated again.
 	f.evacuated(1, 7, true)
 	f.evacuated(2, 6, false)
-	f.Assert(f.takes(2, "c"), qt.IsFalse)
+	f.Assert(f.acceptsStart(2, "c"), qt.IsFalse)
 }
 
-// Guards against a zone that stays closed because the entry whose state the agent has ended
+// Guards against a zone that stays evacuated because the entry whose state the agent has ended
 // before it could tell of the restoration.
 func TestEntryEndsWhileTheZoneIsEvacuated(t *testing.T) {
 	f := newFixtureWithTwoEntries(t)
@@ -78,9 +78,9 @@
 	f.evacuated(1, 90, true)
 	f.s.EntryDisconnected(f.now, 1, "killed")
 	f.evacuated(2, 50, true)
-	f.Assert(f.takes(2, "a"), qt.IsFalse)
+	f.Assert(f.acceptsStart(2, "a"), qt.IsFalse)
 	f.evacuated(2, 100, false)
-	f.Assert(f.takes(2, "b"), qt.IsTrue)
+	f.Assert(f.acceptsStart(2, "b"), qt.IsTrue)
 }
 
 // Guards against a worker that restarts and gets tasks in a zone that is still evacuated, and
@@ -100,7 +100,7 @@
 		f.Assert(f.announce(again), qt.IsTrue)
 		f.takeActions()
 		f.answerRenewalOf(9)
-		f.Assert(f.takes(2, "j"), qt.Equals, zone == "b")
+		f.Assert(f.acceptsStart(2, "j"), qt.Equals, zone == "b")
 		if zone == "b" {
 			// Messages that were under way are about the former zone, whose version may be that
 			// of the present one's state, or higher.
@@ -108,9 +108,9 @@
 			for _, version := range []uint64{5, 6} {
 				f.sendCommands(2, &link.Commands{Evacuation: link.Evacuation{Version: version, Evacuated: true, WorkerRevision: former}})
 			}
-			f.Assert(f.takes(2, "k"), qt.IsTrue)
+			f.Assert(f.acceptsStart(2, "k"), qt.IsTrue)
 			f.evacuated(1, 6, true)
-			f.Assert(f.takes(2, "l"), qt.IsFalse)
+			f.Assert(f.acceptsStart(2, "l"), qt.IsFalse)
 		}
 	}
 }
@@ -127,7 +127,7 @@
 	f.s.RestoreWorker(f.now, stored)
 	f.answerRenewal()
 	f.Assert(f.s.accepting(), qt.IsTrue)
-	f.Assert(f.takes(1, "j"), qt.IsFalse)
+	f.Assert(f.acceptsStart(1, "j"), qt.IsFalse)
 }
 
 // Load: the agent is frozen while its zone is evacuated, and the message that says so waits in
@@ -141,10 +141,10 @@
 	f.s.EntryConnected(f.now, 3, link.Hello{Entry: "e2", Incarnation: 12})
 	f.answerRenewal()
 	f.Assert(f.s.accepting(), qt.IsTrue)
-	f.Assert(f.takes(3, "a"), qt.IsFalse)
+	f.Assert(f.acceptsStart(3, "a"), qt.IsFalse)
 	f.evacuated(3, 7, false)
 	f.evacuated(1, 6, true)
-	f.Assert(f.takes(3, "b"), qt.IsTrue)
+	f.Assert(f.acceptsStart(3, "b"), qt.IsTrue)
 }
 
 // Guards against a log line for each message of each entry.
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -28,17 +28,17 @@
 		pause(0, 500*time.Millisecond)
 	}
 	d.store.Put("op", evacuationRow+zone, nil)
-	closed := time.Now()
-	d.audit.CloseZone(zone, closed.Add(evacuationBound))
-	d.printf(o.Out, "seed %d: %s evacuate zone %s\n", o.Seed, closed.UTC().Format("05.000"), zone)
+	evacuatedAt := time.Now()
+	d.audit.EvacuateZone(zone, evacuatedAt.Add(evacuationBound))
+	d.printf(o.Out, "seed %d: %s evacuate zone %s\n", o.Seed, evacuatedAt.UTC().Format("05.000"), zone)
 	d.trace("zone %s evacuated", zone)
 	pause(evacuationBound+500*time.Millisecond, evacuationBound+2500*time.Millisecond)
-	d.audit.OpenZone(zone)
+	d.audit.RestoreZone(zone)
 	last := d.audit.LastStart(zone)
 	d.store.Remove("op", evacuationRow+zone)
 	d.trace("zone %s restored", zone)
 	d.printf(o.Out, "seed %d: %s zone %s restored, last start there %d ms after the evacuation\n",
-		o.Seed, time.Now().UTC().Format("05.000"), zone, max(last.Sub(closed), 0).Milliseconds())
+		o.Seed, time.Now().UTC().Format("05.000"), zone, max(last.Sub(evacuatedAt), 0).Milliseconds())
 	return zone
 }
 
--- a/standin/site/audit.go
+++ b/standin/site/audit.go
@@ -17,9 +17,9 @@
 	starts     map[string]int
 	violations []string
 	// startsInZone counts the task starts by the zone of their worker. A start in a zone of
-	// closedFrom after that time is a violation.
-	startsInZone map[string]int
-	closedFrom   map[string]time.Time
+	// noStartsAfter after that time is a violation.
+	startsInZone  map[string]int
+	noStartsAfter map[string]time.Time
 	// lastStart is the time of the last start by zone.
 	lastStart map[string]time.Time
 	// delays describe when a worker was late itself.
@@ -28,11 +28,11 @@
 
 // NewAudit returns an empty Audit.
 func NewAudit() *Audit {
-	return &Audit{running: map[string]string{}, starts: map[string]int{}, startsInZone: map[string]int{}, closedFrom: map[string]time.Time{}, lastStart: map[string]time.Time{}}
+	return &Audit{running: map[string]string{}, starts: map[string]int{}, startsInZone: map[string]int{}, noStartsAfter: map[string]time.Time{}, lastStart: map[string]time.Time{}}
 }
 
 // begin records the start of a run. It is a violation if the task is already
-// running, or the zone closed.
+// running, or no task may start in the zone.
 func (a *Audit) begin(task, worker, zone string, attempt uint32) {
 	a.trace("run of task %s attempt %d begins on %s", task, attempt, worker)
 	a.mu.Lock()
@@ -40,8 +40,8 @@
 	if other, ok := a.running[task]; ok {
 		a.violations = append(a.violations, fmt.Sprintf("%s task %s runs on %s and %s at the same time", time.Now().UTC().Format("05.000"), task, other, worker))
 	}
-	if from, ok := a.closedFrom[zone]; ok && time.Now().After(from) {
-		a.violations = append(a.violations, fmt.Sprintf("%s task %s starts on %s in zone %s, %v after it was closed", time.Now().UTC().Format("05.000"), task, worker, zone, time.Since(from).Round(time.Millisecond)))
+	if from, ok := a.noStartsAfter[zone]; ok && time.Now().After(from) {
+		a.violations = append(a.violations, fmt.Sprintf("%s task %s starts on %s in zone %s, %v later than the last time allowed", time.Now().UTC().Format("05.000"), task, worker, zone, time.Since(from).Round(time.Millisecond)))
 	}
 	a.startsInZone[zone]++
 	a.lastStart[zone] = time.Now()
@@ -92,19 +92,19 @@
 	return append([]string{}, a.violations...)
 }
 
-// CloseZone makes each start of a task on a worker of the zone later than a time a violation,
-// until OpenZone.
-func (a *Audit) CloseZone(zone string, from time.Time) {
+// EvacuateZone makes each start of a task on a worker of the zone later than a time a violation,
+// until RestoreZone.
+func (a *Audit) EvacuateZone(zone string, from time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.closedFrom[zone] = from
+	a.noStartsAfter[zone] = from
 }
 
-// OpenZone ends the effect of CloseZone.
-func (a *Audit) OpenZone(zone string) {
+// RestoreZone ends the effect of EvacuateZone.
+func (a *Audit) RestoreZone(zone string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.closedFrom, zone)
+	delete(a.noStartsAfter, zone)
 }
 
 // StartsInZone returns the number of task starts on the workers of a zone.
