--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -20,7 +20,7 @@
 	// worker. A deployment that starts has connected its agents by then.
 	zoneCheckDelay = 10 * time.Second
 	// evacuationMessage is the message of a job that is refused because of evacuated zones.
-	evacuationMessage = "no worker for it is available outside the zones that the operator has evacuated"
+	evacuationMessage = "the operator has evacuated zones, and no worker outside them is available for it"
 )
 
 // evacuation is the state of the zones that the operator has evacuated.
