--- a/runner/entries.go
+++ b/runner/entries.go
@@ -63,6 +63,9 @@
 func (s *State) HandleCommands(now time.Duration, id ConnID, c *link.Commands) {
 	s.detectSuspension(now)
 	conn := s.conns[id]
+	// The state of the zone counts whether or not the connection still does: its version
+	// shows whether it is newer than the known one.
+	s.learnEvacuation(conn, c.Evacuation)
 	if conn == nil {
 		return
 	}
@@ -175,6 +178,9 @@
 }
 
 func (s *State) handleStart(now time.Duration, id ConnID, conn *entryConn, c *link.Start) {
+	if s.refuseEvacuated(now, conn, c) {
+		return
+	}
 	k := runKey{c.Task, c.Attempt}
 	leaseEnd := min(s.leaseEnd(now), s.entryLimit(conn))
 	// A worker that has restarted or changed since may be of another kind: only the agent
