Explain where a job would go and why

An operator who asks why a job was refused, or why it went to a slow worker, had only the log line of the decision, without the terms that led to it.

Scheduler.Explain submits the job to a deep copy of the state and records each choice of a worker through Scheduler.onPick, so that the real admission and placement code decides. The output is bounded to 32 tasks with 10 candidates each. A cost that the listed terms don't explain is shown as other_factor, so that terms added later don't go unnoticed. Worker.reportedAt is new and gives the age of what is known of a worker.

Two schedulers that get the same 1,200 random events and jobs, of which one is asked before each job, stay equal, and each explanation names the workers or the refusal that follow.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -118,7 +118,7 @@
 	if w.accepting && !r.Accepting {
 		w.lastAvailable = now
 	}
-	w.reported, w.accepting, w.free = true, r.Accepting, r.Free
+	w.reported, w.accepting, w.free, w.reportedAt = true, r.Accepting, r.Free, now
 	w.speed, w.failureRate = clamp(r.Speed, minSpeed, maxReportedSpeed), clamp(r.FailureRate, 0, 1)
 	for i := range r.Answers {
 		s.startAnswered(now, w, &r.Answers[i])
--- /dev/null
+++ b/dispatch/explain_test.go
@@ -0,0 +1,315 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+	"unsafe"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/link"
+)
+
+// graph walks all that is reachable from a value. It writes each value once, and notes the
+// addresses of what can be changed through the references found.
+type graph struct {
+	text strings.Builder
+	refs map[unsafe.Pointer]string
+}
+
+func walk(v any) *graph {
+	g := &graph{refs: map[unsafe.Pointer]string{}}
+	g.visit(reflect.ValueOf(v), "")
+	return g
+}
+
+func (g *graph) visit(v reflect.Value, path string) {
+	if k := v.Kind(); (k == reflect.Pointer || k == reflect.Map || k == reflect.Slice) && !v.IsNil() && (k != reflect.Slice || v.Cap() > 0) {
+		if first, seen := g.refs[v.UnsafePointer()]; seen {
+			fmt.Fprintf(&g.text, "%s = %s\n", path, first)
+			return
+		}
+		g.refs[v.UnsafePointer()] = path
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			g.visit(v.Elem(), path)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			g.visit(v.Field(i), path+"."+v.Type().Field(i).Name)
+		}
+	case reflect.Slice, reflect.Array:
+		for i := range v.Len() {
+			g.visit(v.Index(i), fmt.Sprint(path, "[", i, "]"))
+		}
+	case reflect.Map:
+		keys := v.MapKeys()
+		sort.Slice(keys, func(i, k int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[k]) })
+		for _, key := range keys {
+			g.visit(v.MapIndex(key), fmt.Sprint(path, "{", key, "}"))
+		}
+	case reflect.Interface:
+		fmt.Fprintf(&g.text, "%s: %v\n", path, v.Elem())
+	default:
+		fmt.Fprintf(&g.text, "%s: %v\n", path, v)
+	}
+}
+
+// loadedPair drives two schedulers with the same random events: workers of three zones and
+// different speeds, some with a label or a rack, jobs of three priorities, failures, refused
+// starts, lost connections and evacuated zones.
+type loadedPair struct {
+	*qt.C
+	rnd  *rand.Rand
+	now  time.Duration
+	both [2]*Scheduler
+	jobs int
+}
+
+func newLoadedPair(t *testing.T, seed uint64) *loadedPair {
+	p := &loadedPair{C: qt.New(t), rnd: rand.New(rand.NewPCG(seed, 0)), now: time.Hour}
+	for i := range p.both {
+		p.both[i] = New(Options{RestartDelay: 900 * ms, RackSlowdown: 1.5, Seed: 1, Zone: "z1", MaxWaitingJobs: 40})
+	}
+	for i := range 24 {
+		name := fmt.Sprint("w", i)
+		labels := []string{fmt.Sprint("rack", i%3)}
+		if i%5 == 0 {
+			labels = append(labels, "special")
+		}
+		state := &link.WorkerState{ID: name, Service: "service", Zone: fmt.Sprint("z", i%3), Labels: labels, Capacity: link.Resources{MilliCPU: 12000, MemoryMB: 1 << 20}}
+		speed := float32(0.5 + p.rnd.Float64())
+		p.each(func(s *Scheduler) {
+			s.AgentConnected(p.now, name)
+			s.AgentReported(p.now, name, &link.Report{Accepting: true, Speed: speed, Free: state.Capacity, Worker: state})
+		})
+	}
+	return p
+}
+
+func (p *loadedPair) each(f func(*Scheduler)) {
+	for _, s := range p.both {
+		f(s)
+	}
+}
+
+func (p *loadedPair) newJob() Job {
+	p.jobs++
+	estimate := time.Duration(20+p.rnd.IntN(300)) * ms
+	j := Job{
+		ID: fmt.Sprint("j", p.jobs), Queue: "queue", Service: "service", ReceivedAt: p.now, Deadline: p.now + 2400*ms, Priority: p.rnd.IntN(3), MaxAttempts: 2, LatencyFactor: 1.6, LatencyAllowance: 60 * ms,
+		Steps: []Step{{Tasks: 1 + p.rnd.IntN(6), Need: fourCores, Estimate: estimate}},
+	}
+	switch p.rnd.IntN(6) {
+	case 0:
+		j.Steps[0].RequiredLabel = "special"
+	case 1:
+		j.Steps[0].DataRack = "rack1"
+	case 2:
+		j.Steps[0].MaxPerWorker = 1
+	case 3:
+		j.Steps = append(j.Steps, Step{Tasks: 2, Need: fourCores, DependsOn: []int{0}})
+	case 4:
+		j.Waited = time.Duration(p.rnd.IntN(400)) * ms
+	}
+	return j
+}
+
+// step passes some time and lets one worker report, answer a start, or be lost, or changes
+// the evacuated zones.
+func (p *loadedPair) step() {
+	p.now += time.Duration(p.rnd.IntN(12)) * ms
+	name := fmt.Sprint("w", p.rnd.IntN(24))
+	kind, choice := p.rnd.IntN(40), p.rnd.IntN(10)
+	p.each(func(s *Scheduler) {
+		s.TakeActions(p.now)
+		w := s.workers[name]
+		r := &link.Report{Accepting: choice != 9, Speed: float32(w.speed), FailureRate: float32(choice) / 20, Free: w.state.Capacity}
+		for i, t := range w.sortedTasks() {
+			switch {
+			case t.phase == starting && choice == 0:
+				r.Answers = append(r.Answers, link.StartAnswer{Task: t.id, Attempt: t.attempt, Result: link.Busy})
+				continue
+			case t.phase == starting:
+				r.Answers = append(r.Answers, link.StartAnswer{Task: t.id, Attempt: t.attempt, Result: link.Started})
+			case t.phase == running && i == 0:
+				outcome := uint8(link.Done)
+				if choice == 1 {
+					outcome = link.Failed
+				}
+				r.Ends = append(r.Ends, link.End{Task: t.id, Attempt: t.attempt, Outcome: outcome})
+				continue
+			}
+			r.Free = r.Free.Sub(t.step().Need)
+		}
+		switch kind {
+		case 0:
+			s.AgentDisconnected(p.now, name, "test")
+			s.AgentConnected(p.now, name)
+			r.Worker = &w.state
+		case 1:
+			s.SetEvacuated(p.now, uint64(p.now), []string{fmt.Sprint("z", choice%3)})
+		case 2:
+			s.SetEvacuated(p.now, uint64(p.now), nil)
+		case 3:
+			s.Tick(p.now)
+		}
+		s.AgentReported(p.now, name, r)
+	})
+}
+
+// Guards against an explanation that names another worker, or another verdict, than the
+// submission of the same job at the same time, and against a scheduler that decides
+// differently or holds another state because it was asked.
+func TestExplanationMatchesSubmission(t *testing.T) {
+	decisions := map[Decision]int{}
+	rules := map[string]int{}
+	for seed := range uint64(10) {
+		p := newLoadedPair(t, seed)
+		asked, twin := p.both[0], p.both[1]
+		for n := range 120 {
+			for range p.rnd.IntN(3) {
+				p.step()
+			}
+			sub := p.newJob()
+			if p.rnd.IntN(10) == 0 {
+				sub.ID = fmt.Sprint("j", 1+p.rnd.IntN(p.jobs))
+			}
+			_, known := asked.jobs[sub.ID]
+			e := asked.Explain(p.now, sub)
+			// Comparing all is slow; a difference that asking makes stays.
+			if n%20 == 19 {
+				p.Assert(walk(asked).text.String() == walk(twin).text.String(), qt.IsTrue, qt.Commentf("asking changed the state, seed %d", seed))
+			}
+			verdict := asked.Submit(p.now, sub)
+			twin.Submit(p.now, sub)
+			decisions[e.Decision]++
+			comment := qt.Commentf("seed %d job %s: %+v", seed, sub.ID, e)
+			switch {
+			case known:
+				p.Assert(e.Decision, qt.Equals, InProgress, comment)
+			case verdict == nil:
+				p.Assert(e.Decision == Placed || e.Decision == Waits, qt.IsTrue, comment)
+				p.Assert(asked.jobs[sub.ID].hasReadyTasks(), qt.Equals, e.Decision == Waits, comment)
+				for i, view := range e.Tasks {
+					name := ""
+					if w := asked.jobs[sub.ID].tasks[i].worker; w != nil {
+						name = w.name
+					}
+					p.Assert(view.Worker, qt.Equals, name, comment)
+					rules[view.Rule]++
+				}
+			default:
+				p.Assert(e.Decision == Refused || e.Decision == Answered, qt.IsTrue, comment)
+				p.Assert(e.Message, qt.Equals, verdict.Message, comment)
+				p.Assert(e.RetryAfterMS, qt.Equals, verdict.RetryAfter.Milliseconds(), comment)
+			}
+		}
+	}
+	t.Log(decisions, rules)
+	for _, d := range []Decision{Placed, Waits, Refused, InProgress, Answered} {
+		qt.Check(t, decisions[d] > 0, qt.IsTrue, qt.Commentf("no case of %q", d))
+	}
+}
+
+// Guards against state that a Snapshot shares with its Scheduler although one of them changes
+// it, such as a map that is added later.
+func TestSnapshotSharesNothingThatChanges(t *testing.T) {
+	p := newLoadedPair(t, 7)
+	for range 100 {
+		p.step()
+		p.both[0].Submit(p.now, p.newJob())
+	}
+	s := p.both[0]
+	original := walk(s).refs
+	for ref, path := range walk(s.Snapshot("j1").s).refs {
+		if from, shared := original[ref]; shared {
+			// What these fields refer to doesn't change.
+			fixed := slices.ContainsFunc([]string{".Steps", ".DependsOn", ".Labels", ".verdict"}, func(suffix string) bool { return strings.HasSuffix(path, suffix) })
+			qt.Check(t, fixed, qt.IsTrue, qt.Commentf("%s is shared with %s", path, from))
+		}
+	}
+}
+
+// Guards against a term that is missing or wrong: the factors must give the cost.
+func TestExplanationHasEachTerm(t *testing.T) {
+	h := newHarness(t)
+	h.s.opts.Zone = "z1"
+	h.addWorkerInZone("z1", "w1", 4, 0.5)
+	h.addWorkerInZone("z2", "w2", 4, 1)
+	h.addWorkerInZone("z3", "w3", 4, 2)
+	h.report("w2", 4, 1, &link.Report{FailureRate: 0.25})
+	h.s.SetEvacuated(h.now, 5, []string{"z3"})
+	h.now += 30 * ms
+	h.report("w1", 2, 0.5, &link.Report{})
+	sub := h.newJob("a", 40, 100*ms)
+	sub.Steps[0].DataRack = "rack"
+	e := h.s.Explain(h.now, sub)
+	h.Assert(e.Decision, qt.Equals, Waits)
+	h.Assert(e.Evacuation, qt.DeepEquals, EvacuationView{Version: 5, Zones: []string{"z3"}})
+	h.Assert(e.TotalTasks, qt.Equals, 40)
+	h.Assert(e.Tasks, qt.HasLen, maxExplainedTasks)
+	h.Assert(e.Tasks[31].Rule, qt.Equals, "waits for an earlier task of the job")
+	first := e.Tasks[0]
+	h.Assert(first.Worker, qt.Equals, "w2")
+	h.Assert(first.Candidates, qt.HasLen, 3)
+	for _, c := range first.Candidates {
+		cost := 100 * c.SpeedFactor * c.RackFactor * c.FailureFactor * c.OtherFactor * (1 + c.LoadTerm + c.PreferenceTerm + c.ZoneTerm)
+		h.Check(math.Abs(cost/c.CostMS-1) < 2e-4, qt.IsTrue, qt.Commentf("%v: %+v", cost, c))
+	}
+	w2, w1, w3 := first.Candidates[0], first.Candidates[1], first.Candidates[2]
+	h.Check(w2.ZoneTerm, qt.Equals, DefaultPolicy.ZoneWeight)
+	h.Check(w2.FailureFactor, qt.Equals, 1/0.75)
+	h.Check(w2.ReportAgeMS, qt.Equals, int64(30))
+	h.Check(w1.ReportAgeMS, qt.Equals, int64(0))
+	h.Check(w1.LoadTerm, qt.Equals, DefaultPolicy.LoadWeight/2)
+	h.Check(w1.RackFactor, qt.Equals, 1.5)
+	h.Check(w3.Excluded, qt.Equals, "evacuated zone")
+}
+
+func benchmarkExplain(b *testing.B, workers int) {
+	s := New(Options{RestartDelay: time.Second, RackSlowdown: 1.5, MaxWaitingJobs: 2000})
+	now := time.Hour
+	for i := range workers {
+		name := fmt.Sprint("w", i)
+		s.AgentConnected(now, name)
+		capacity := link.Resources{MilliCPU: 16000, MemoryMB: 1 << 20}
+		s.AgentReported(now, name, &link.Report{Accepting: true, Speed: 1, Free: capacity, Worker: &link.WorkerState{ID: name, Service: "service", Capacity: capacity}})
+	}
+	job := func(id string, tasks int) Job {
+		return Job{
+			ID: id, Queue: "q", Service: "service", ReceivedAt: now, Deadline: now + time.Hour, LatencyFactor: 100,
+			Steps: []Step{{Tasks: tasks, Need: fourCores, Estimate: 100 * time.Millisecond}},
+		}
+	}
+	// Half of the capacity is used, by four tasks a job.
+	for i := range workers / 2 {
+		s.Submit(now, job(fmt.Sprint("j", i), 4))
+	}
+	s.TakeActions(now)
+	b.Run("snapshot", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Snapshot("x")
+		}
+	})
+	b.Run("explain", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Explain(now, job("x", 8))
+		}
+	})
+}
+
+// The time that one explanation takes, and the part of it that the event loop waits for.
+func BenchmarkExplain64Workers(b *testing.B)  { benchmarkExplain(b, 64) }
+func BenchmarkExplain160Workers(b *testing.B) { benchmarkExplain(b, 160) }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -272,6 +272,9 @@
 			continue
 		}
 		w := s.pickWorker(now, t)
+		if s.onPick != nil {
+			s.onPick(now, t, w)
+		}
 		if w == nil {
 			return placed
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -114,6 +114,8 @@
 	free        link.Resources
 	speed       float64
 	failureRate float64
+	// reportedAt is the time of that report.
+	reportedAt time.Duration
 	// backoffUntil is the time until which a worker that refused a start gets no
 	// further start.
 	backoffUntil time.Duration
@@ -163,6 +165,9 @@
 	// a worker changes.
 	maxSpeeds  map[string]float64
 	evacuation evacuation
+	// onPick, if set, is called after each choice of a worker, before the start. w is nil
+	// if the task waits.
+	onPick func(now time.Duration, t *task, w *worker)
 }
 
 type cachedAnswer struct {
