Serve explanations to operators at the metrics address of an entry

POST /v1/explain takes a job as callers send it, with the host and path of the caller's request, and answers with Scheduler.Explain and the name, zone, readiness and configuration version of the entry. The callers' address doesn't serve it.

An entry gives one explanation a second with a burst of four, and answers 429 beyond that before it reads the body.

--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/dispatch"
+	"github.com/sesamelift/sesamelift/platform"
+)
+
+// explainingEntry starts a server that answers every request with status and answer, and
+// returns its address.
+func explainingEntry(t *testing.T, status int, answer any) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		qt.Check(t, r.Method+" "+r.URL.String(), qt.Equals, "POST /v1/explain?host=jobs.example&path=%2Fjobs%2F")
+		qt.Check(t, r.Header.Get("Deadline-Ms"), qt.Equals, "2000")
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(answer)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func explained(entry, worker string, free int64) *platform.Explained {
+	return &platform.Explained{Entry: entry, Zone: "z1", ConfigVersion: 7, Ready: true, Explanation: dispatch.Explanation{
+		Decision: dispatch.Placed, Queue: "jobs", Service: "service", Class: "urgent", ExpectedEndMS: 50, OnTime: true, TotalTasks: 40,
+		Tasks: []dispatch.TaskView{{Worker: worker, Rule: "lowest cost", Excluded: map[string]int{"no room": 9}, Candidates: []dispatch.Candidate{
+			{Worker: worker, Chosen: true, FreeMilliCPU: free, CapacityMilliCPU: 16000, Speed: 1, OtherFactor: 1, RackFactor: 1},
+			{Worker: "w9", Excluded: "evacuated zone", ReportAgeMS: -1},
+		}}},
+	}}
+}
+
+// Guards against an exit code that hides a faulty file or unreachable entries, and against
+// output that lacks a fault, an entry or a difference.
+func TestExplain(t *testing.T) {
+	job := writeFile(t, `{"best_effort":true,"steps":[{"count":2}]}`)
+	faulty := writeFile(t, "{\n\"spec\":7,\n\"steps\":[{\"count\":0}]}")
+	a := explainingEntry(t, http.StatusOK, explained("e1", "w1", 8000))
+	b := explainingEntry(t, http.StatusOK, explained("e2", "w2", 4000))
+	sameAsA := explainingEntry(t, http.StatusOK, explained("e3", "w1", 8000))
+	noQueue := explainingEntry(t, http.StatusNotFound, map[string]string{"error": "no such queue"})
+	busy := explainingEntry(t, http.StatusTooManyRequests, map[string]string{"error": "at most one explanation a second is given"})
+	const unreachable = "127.0.0.1:1"
+	for _, tc := range []struct {
+		name    string
+		entries string
+		args    []string
+		code    int
+		out     []string
+	}{
+		{"table", a, []string{job}, ExitOK, []string{"entry e1 in z1", "placed", "task 0.0: w1 (lowest cost)", "8.0 of 16.0", "evacuated zone", "9 more: no room", "39 more tasks"}},
+		{"JSON", a, []string{"-json", job}, ExitOK, []string{`"decision": "placed"`, `"load_term"`}},
+		{"second entry", unreachable + "," + busy + "," + b, []string{job}, ExitOK, []string{"entry " + unreachable, "entry " + busy, "entry e2 in z1"}},
+		{"differences", a + "," + b + "," + unreachable, []string{"-all", job}, ExitOK, []string{`task 0.0: e1="w1" e2="w2"`, "entry " + unreachable}},
+		{"differences as JSON", a + "," + b + "," + unreachable, []string{"-all", "-json", job}, ExitOK, []string{`"what": "task 0.0"`, `"error": "ask for`}},
+		{"no differences", a + "," + sameAsA, []string{"-all", job}, ExitOK, []string{"the entries agree"}},
+		{"faults", a, []string{faulty}, ExitUsage, []string{faulty + ":2: spec", faulty + ":3: steps[0].count"}},
+		{"no such queue", noQueue + "," + a, []string{job}, ExitUsage, []string{"no such queue"}},
+		{"no entry", unreachable + "," + busy, []string{job}, ExitFailed, []string{"no entry could be reached", "entry " + unreachable, "entry " + busy}},
+		{"no file", a, nil, ExitUsage, []string{"explain takes one file"}},
+		{"missing file", a, []string{"none.json"}, ExitUsage, []string{"no such file"}},
+		{"no entries", "", []string{job}, ExitUsage, []string{"-entries is required"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			args := append([]string{"explain", "-entries", tc.entries, "-host", "jobs.example", "-path", "/jobs/", "-deadline", "2s"}, tc.args...)
+			code, out, errOut := runCommand(t, args...)
+			qt.Assert(t, code, qt.Equals, tc.code, qt.Commentf("%s%s", out, errOut))
+			for _, text := range tc.out {
+				qt.Check(t, out+errOut, qt.Contains, text)
+			}
+		})
+	}
+}
--- a/host/entry.go
+++ b/host/entry.go
@@ -36,6 +36,7 @@
 	if _, err := p.addServer("directory", s.ControlAddress, d.DirectoryHandler()); err != nil {
 		return err
 	}
+	p.operators.Handle(platform.ExplainPath, platform.ExplainHandler(d))
 	p.group.Add(func() error { d.Run(p.drainCtx); return nil }, func(error) {})
 	return nil
 }
--- a/host/host.go
+++ b/host/host.go
@@ -60,6 +60,8 @@
 	log         *decisions.Log
 	metrics     tally.Scope
 	group       run.Group
+	// operators serves the address that operators reach and callers don't, with the metrics.
+	operators *http.ServeMux
 	// drainCtx is cancelled by a termination signal. The process then drains.
 	drainCtx context.Context
 }
@@ -127,7 +129,7 @@
 	drainCtx, startDrain := context.WithCancel(ctx)
 	defer startDrain()
 	p := &process{
-		settings: s, timings: t, incarnation: rand.Uint64(), log: log, metrics: scope, drainCtx: drainCtx,
+		settings: s, timings: t, incarnation: rand.Uint64(), log: log, metrics: scope, operators: http.NewServeMux(), drainCtx: drainCtx,
 	}
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
@@ -136,7 +138,8 @@
 	log.Add(decisions.Info("started", "version", version.String(), "incarnation", p.incarnation, "zone", s.Zone,
 		"lease_ms", t.Lease.Milliseconds(), "silence_ms", t.SilenceTimeout.Milliseconds(), "loss_wait_ms", t.RestartDelay.Milliseconds()))
 	p.handleSignals(startDrain, file, agent)
-	if _, err := p.addServer("metrics", s.MetricsAddress, metricsHandler); err != nil {
+	p.operators.Handle("/", metricsHandler)
+	if _, err := p.addServer("metrics", s.MetricsAddress, p.operators); err != nil {
 		return err
 	}
 	if err := setup(p); err != nil {
