--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -31,7 +31,7 @@
 		copied.Starts, copied.Stops, copied.Claims = slices.Clone(command.Starts), slices.Clone(command.Stops), slices.Clone(command.Claims)
 		c.commands[name] = &copied
 	}
-	c.copyWorkersAndJobs(s)
+	s.copyWorkersAndJobs(&c)
 	return &Snapshot{&c}
 }
 
@@ -43,10 +43,10 @@
 	return map[string]V{}, nil
 }
 
-// copyWorkersAndJobs replaces the workers, jobs and tasks of c, which are those of s, by
-// copies that refer to each other. The steps of jobs and the labels of workers are shared,
+// copyWorkersAndJobs gives c copies of the workers, jobs and tasks of s, which refer to each
+// other. The steps of jobs and the labels of workers are shared,
 // since they don't change.
-func (c *Scheduler) copyWorkersAndJobs(s *Scheduler) {
+func (s *Scheduler) copyWorkersAndJobs(c *Scheduler) {
 	workers := make([]worker, len(s.workersByName))
 	c.workers, c.workersByName = make(map[string]*worker, len(workers)), make([]*worker, len(workers))
 	for i, w := range s.workersByName {
