Take the costs of an explanation from the decision itself

The costs were computed again by Scheduler.cost. A term that pickWorker applies to its result, as the slowdown between kinds of tasks is going to be, would have been missing from the explanation.

Scheduler.onCandidate passes on each considered worker with its cost. A worker that pickWorker passes over for a reason that the explanation has no words for is shown as "not considered". A further test lists the fields of the state that hold references, so that one that is added later must be copied.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -154,10 +154,13 @@
 	e.Evacuation = EvacuationView{Version: s.evacuation.version, Zones: slices.Sorted(maps.Keys(s.evacuation.since))}
 	_, known := s.jobs[sub.ID]
 	picks := map[*task]TaskView{}
+	costs := map[*worker]float64{}
+	s.onCandidate = func(_ *task, c candidate) { costs[c.w] = c.cost }
 	s.onPick = func(now time.Duration, t *task, w *worker) {
 		if t.job.ID == sub.ID && len(picks) < maxExplainedTasks {
-			picks[t] = s.explainPick(now, t, w)
+			picks[t] = s.explainPick(now, t, w, costs)
 		}
+		clear(costs)
 	}
 	// The state before the job arrives, with the changes that Submit makes first.
 	j := newJob(sub)
@@ -168,6 +171,7 @@
 	s.explainState(now, j, &e)
 	verdict := s.Submit(now, sub)
 	s.onPick = nil
+	clear(costs)
 	switch {
 	case verdict != nil && verdict.Outcome != api.Complete && verdict.Ran == api.RanNo:
 		e.Decision = Refused
@@ -189,7 +193,7 @@
 	if e.Decision == InProgress || e.Decision == Answered {
 		return e
 	}
-	e.Tasks = s.explainTasks(now, j, e.Decision, &e, picks)
+	e.Tasks = s.explainTasks(now, j, &e, picks, costs)
 	if e.Decision != Refused {
 		end := s.expectedEnd(now, j)
 		e.ExpectedEndMS, e.OnTime = (end - now).Milliseconds(), end <= j.dueAt
@@ -227,8 +231,8 @@
 }
 
 // explainTasks returns the views of the first tasks of a job. picks holds those for which a
-// worker has been looked for.
-func (s *Scheduler) explainTasks(now time.Duration, j *job, decision Decision, e *Explanation, picks map[*task]TaskView) []TaskView {
+// worker has been looked for; costs receives the costs of another look.
+func (s *Scheduler) explainTasks(now time.Duration, j *job, e *Explanation, picks map[*task]TaskView, costs map[*worker]float64) []TaskView {
 	var views []TaskView
 	considered := false
 	for _, t := range j.tasks[:min(len(j.tasks), maxExplainedTasks)] {
@@ -247,9 +251,10 @@
 			// The first task that waits without a look for a worker. The candidates are
 			// those it would have had.
 			considered = true
-			view = s.explainPick(now, t, nil)
+			s.pickWorker(now, t)
+			view = s.explainPick(now, t, nil, costs)
 			switch {
-			case decision == Refused:
+			case e.Decision == Refused:
 				view.Rule = "the job is refused"
 			case now < j.notBefore:
 				view.Rule = "attempts of an earlier submission may still run"
@@ -265,8 +270,8 @@
 }
 
 // explainPick returns the view of a task for which pickWorker has chosen chosen, which is nil
-// if the task waits.
-func (s *Scheduler) explainPick(now time.Duration, t *task, chosen *worker) TaskView {
+// if the task waits. costs are those of the workers that it considered.
+func (s *Scheduler) explainPick(now time.Duration, t *task, chosen *worker, costs map[*worker]float64) TaskView {
 	view := TaskView{Step: int(t.id.Step), Index: int(t.id.Index)}
 	type ranked struct {
 		w        *worker
@@ -280,8 +285,11 @@
 			continue
 		}
 		r := ranked{w, s.exclusion(now, t, w), s.cost(t, w, s.predictRunTime(t, w))}
-		if r.excluded == "" {
+		if considered, ok := costs[w]; ok {
+			r.cost, r.excluded = considered, ""
 			fitting++
+		} else if r.excluded == "" {
+			r.excluded = "not considered"
 		}
 		all = append(all, r)
 	}
@@ -290,7 +298,7 @@
 	})
 	listed := min(len(all), maxExplainedCandidates)
 	for _, r := range all[:listed] {
-		c := s.explainCandidate(now, t, r.w)
+		c := s.explainCandidate(now, t, r.w, r.cost)
 		c.Chosen, c.Excluded = r.w == chosen, r.excluded
 		view.Candidates = append(view.Candidates, c)
 	}
@@ -328,10 +336,10 @@
 	return 1
 }
 
-func (s *Scheduler) explainCandidate(now time.Duration, t *task, w *worker) Candidate {
+func (s *Scheduler) explainCandidate(now time.Duration, t *task, w *worker, cost float64) Candidate {
 	available, st := w.available(), t.step()
 	runTime := s.predictRunTime(t, w)
-	costMS := s.cost(t, w, runTime) / float64(time.Millisecond)
+	costMS := cost / float64(time.Millisecond)
 	c := Candidate{
 		Worker: w.name, Zone: w.state.Zone,
 		FreeMilliCPU: available.MilliCPU, CapacityMilliCPU: w.state.Capacity.MilliCPU, FreeMemoryMB: available.MemoryMB, FreeGPU: available.GPU,
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -206,6 +206,11 @@
 						name = w.name
 					}
 					p.Assert(view.Worker, qt.Equals, name, comment)
+					p.Assert(view.Excluded["not considered"], qt.Equals, 0, comment)
+					for _, c := range view.Candidates {
+						p.Assert(c.Excluded, qt.Not(qt.Equals), "not considered", comment)
+						p.Assert(c.Chosen, qt.Equals, c.Worker == name, comment)
+					}
 					rules[view.Rule]++
 				}
 			default:
@@ -240,6 +245,52 @@
 	}
 }
 
+// Guards against a field that refers to state which changes, and which Snapshot doesn't copy
+// although the events of the test above don't set it.
+func TestSnapshotKnowsAllReferences(t *testing.T) {
+	known := map[reflect.Type]string{
+		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending maxSpeeds evacuation onCandidate onPick",
+		reflect.TypeFor[worker]():    "state tasks",
+		reflect.TypeFor[job]():       "Job tasks unfinished",
+		// The steps and the spec of a job don't change.
+		reflect.TypeFor[Job]():        "Steps",
+		reflect.TypeFor[task]():       "job worker failedOn",
+		reflect.TypeFor[evacuation](): "since unchecked runnableUntil",
+		reflect.TypeFor[Options]():    "",
+		// Labels don't change; a report brings new ones.
+		reflect.TypeFor[link.WorkerState](): "Labels",
+		reflect.TypeFor[Command]():          "Starts Stops Claims",
+	}
+	for typ, names := range known {
+		var found []string
+		for i := range typ.NumField() {
+			field := typ.Field(i)
+			if !refersToNothing(field.Type) {
+				found = append(found, field.Name)
+			}
+		}
+		qt.Check(t, strings.Join(found, " "), qt.Equals, names, qt.Commentf("%v: copy the fields in Snapshot, then list them here", typ))
+	}
+}
+
+// refersToNothing reports whether an assignment copies all of a value of the type.
+func refersToNothing(typ reflect.Type) bool {
+	switch typ.Kind() {
+	case reflect.Struct:
+		for i := range typ.NumField() {
+			if !refersToNothing(typ.Field(i).Type) {
+				return false
+			}
+		}
+		return true
+	case reflect.Array:
+		return refersToNothing(typ.Elem())
+	case reflect.Pointer, reflect.Map, reflect.Slice, reflect.Func, reflect.Interface, reflect.Chan, reflect.UnsafePointer:
+		return false
+	}
+	return true
+}
+
 // Guards against a term that is missing or wrong: the factors must give the cost.
 func TestExplanationHasEachTerm(t *testing.T) {
 	h := newHarness(t)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -336,6 +336,9 @@
 		if fits && w.failureRate < failingWorkerRate && (slowestFitting.w == nil || runTime > slowestFitting.runTime) {
 			slowestFitting = c
 		}
+		if s.onCandidate != nil {
+			s.onCandidate(t, c)
+		}
 	}
 	if !eligible {
 		s.activateEligible(now, t)
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -17,7 +17,7 @@
 // copied: there can be thousands of others.
 func (s *Scheduler) Snapshot(id string) *Snapshot {
 	c := *s
-	c.onPick, c.byActivation = nil, nil
+	c.onCandidate, c.onPick, c.byActivation = nil, nil, nil
 	// Decisions don't read the pending actions but the commands.
 	c.pending = Actions{}
 	c.firstSubmissions, c.lastUrgent, c.maxSpeeds = maps.Clone(s.firstSubmissions), maps.Clone(s.lastUrgent), maps.Clone(s.maxSpeeds)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -165,9 +165,10 @@
 	// a worker changes.
 	maxSpeeds  map[string]float64
 	evacuation evacuation
-	// onPick, if set, is called after each choice of a worker, before the start. w is nil
-	// if the task waits.
-	onPick func(now time.Duration, t *task, w *worker)
+	// onCandidate, if set, is called with each worker that is considered for a task, and
+	// onPick after the choice of a worker, before the start; w is nil if the task waits.
+	onCandidate func(t *task, c candidate)
+	onPick      func(now time.Duration, t *task, w *worker)
 }
 
 type cachedAnswer struct {
