Reserve for the explained urgent job before its free share is computed

For a late job of the highest priority, required_free_share lacked the reserve for urgent jobs if no other such job had come before: Submit records the arrival first.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -168,6 +168,9 @@
 		sub.Waited = 0
 		j = newJob(sub)
 	}
+	if j.Priority == highestPriority {
+		s.lastUrgent[j.Service] = now
+	}
 	s.explainState(now, j, &e)
 	verdict := s.Submit(now, sub)
 	s.onPick = nil
