Make no start while the worker may have restarted unnoticed

A start call names its worker instance by the ID only, so that one that is made before the agent has heard of a restart reaches a worker with other labels or less capacity. The co-simulation showed three ways: an agent that was held up handles starts, or repeats calls, before the events that tell of the restart; a refused start was followed by the next one; the new instance rejected a lease by its clock, the agent took over that clock and started again with it.

After 250 ms without an event, a start that reached nobody, and one whose lease had expired by the worker's clock, the worker gets no starts until a renewal sent later is answered (with no wait at the worker, so mostly within milliseconds). Calls are repeated only while the worker is reachable and not in doubt, and not after a pause of 250 ms. The pause isn't 100 ms since TestRenewalsOfALossyWorker has a gap of 200 ms.

--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -55,7 +55,7 @@
 
 func (a *agent) performActions() {
 	out := a.state.TakeActions(a.now)
-	a.born = a.state.WorkerBorn()
+	a.born = a.state.StartableBorn()
 	a.starts = append(a.starts, out.Starts...)
 	a.stops = append(a.stops, out.Stops...)
 	a.nextCalls()
@@ -129,7 +129,13 @@
 			finish(answer, clock)
 			return
 		}
-		a.run(minCallInterval-(a.now-calledAt), func() { a.startWithRetries(c, n+1, result) })
+		a.run(minCallInterval-(a.now-calledAt), func() {
+			if a.now-calledAt >= runner.MaxEventGap {
+				finish(result, 0)
+				return
+			}
+			a.startWithRetries(c, n+1, result)
+		})
 	})
 }
 
--- a/bench/interleaving/interleaving_test.go
+++ b/bench/interleaving/interleaving_test.go
@@ -134,6 +134,10 @@
 		{"a run that begins after the first list of an agent is stopped", 60025, true, []faultKind{killAgent, lossyWorker, slowAnswers}},
 		{"a start for an earlier revision of the worker is refused", 14, true, []faultKind{changeWorker, delays}},
 		{"a start for an earlier revision of the worker is refused", 12, true, []faultKind{changeWorker, slowEntry}},
+		{"no start is made until a worker that may have restarted unnoticed has answered", 70022, true, []faultKind{slowAgent, lossyWorker, slowAnswers, changeWorker}},
+		{"no start is made until a worker that may have restarted unnoticed has answered", 203, true, []faultKind{changeWorker, freezeAgent}},
+		{"no start is made until a worker that may have restarted unnoticed has answered", 71404, true, []faultKind{changeWorker, freezeAgent}},
+		{"no start is made until a worker that may have restarted unnoticed has answered", 70193, true, []faultKind{changeWorker, freezeAgent, lossyWorker}},
 	} {
 		t.Run(fmt.Sprintf("%s, seed %d", tc.rule, tc.seed), func(t *testing.T) {
 			s := newScenario(tc.seed)
--- /dev/null
+++ b/runner/doubt_test.go
@@ -0,0 +1,47 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/link"
+)
+
+// Guards against a start on a worker of another kind, because the worker has restarted under
+// its ID while the agent was held up, or between two answers of a lossy worker.
+func TestNoStartWhileTheWorkerMayHaveRestartedUnnoticed(t *testing.T) {
+	started := func(f *fixture, result StartResult) {
+		f.sendCommands(1, &link.Commands{Starts: []link.Start{start("j", 0)}})
+		f.s.StartDone(f.now, f.starts[0], result, 0)
+	}
+	for name, cause := range map[string]func(f *fixture){
+		"the agent was held up": func(f *fixture) { f.now += MaxEventGap },
+		"nothing listens":       func(f *fixture) { started(f, StartNotSent) },
+		"another clock":         func(f *fixture) { started(f, StartLeaseExpired) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newReadyFixture(t)
+			f.takeActions()
+			sentBefore := f.now
+			f.now += ms
+			cause(f)
+			f.starts = nil
+			f.sendCommands(1, &link.Commands{Starts: []link.Start{start("k", 0)}})
+			f.takeActions()
+			f.Assert(f.starts, qt.HasLen, 0)
+			f.Assert(f.s.StartableBorn(), qt.Equals, int64(0))
+			f.Assert(f.renew, qt.IsNotNil)
+			f.Assert(f.renew.MaxWait, qt.Equals, time.Duration(0))
+			// The answer to a renewal that the worker has held since before tells nothing.
+			reply := RenewReply{Clock: 5000 + f.now.Milliseconds(), Born: 7}
+			f.s.Renewed(f.now, sentBefore, &reply)
+			f.Assert(f.s.accepting(), qt.IsFalse)
+			f.s.Renewed(f.now, f.now, &reply)
+			f.Assert(f.s.StartableBorn(), qt.Equals, int64(7))
+			f.sendCommands(1, &link.Commands{Starts: []link.Start{start("k", 0)}})
+			f.Assert(f.starts, qt.HasLen, 1)
+		})
+	}
+}
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -242,6 +242,11 @@
 func (s *State) detectSuspension(now time.Duration) {
 	gap := now - s.lastEventAt
 	s.lastEventAt = now
+	if gap >= MaxEventGap {
+		// The worker may have restarted meanwhile, and starts be handled before the events
+		// that tell of it.
+		s.doubtInstance(now)
+	}
 	if gap < s.opts.SilenceTimeout {
 		return
 	}
--- a/runner/state.go
+++ b/runner/state.go
@@ -184,6 +184,10 @@
 	// reachable is false until the worker answers a renewal, and again when it
 	// stops answering.
 	reachable bool
+	// instanceInDoubt is true while the worker may have restarted without the agent's
+	// knowledge: since doubtSince, until a renewal that was sent later is answered.
+	instanceInDoubt bool
+	doubtSince      time.Duration
 	// renewalsInFlight counts the renewals whose outcome is pending, renewFailures
 	// those that failed since the last answer.
 	renewalsInFlight int
@@ -248,6 +252,16 @@
 // first answer.
 func (s *State) WorkerBorn() int64 { return s.workerBorn }
 
+// StartableBorn is WorkerBorn while start calls may be made to that instance, and 0 while the
+// worker may have restarted unnoticed: a start call names an instance by its ID only, and one
+// that has restarted under its ID may have other labels.
+func (s *State) StartableBorn() int64 {
+	if !s.reachable || s.instanceInDoubt {
+		return 0
+	}
+	return s.workerBorn
+}
+
 // Runs returns the number of runs that hold capacity.
 func (s *State) Runs() int { return len(s.runs) }
 
@@ -259,7 +273,7 @@
 
 // accepting reports whether the worker accepts starts.
 func (s *State) accepting() bool {
-	return !s.draining && s.worker != nil && !s.worker.Draining && s.clockKnown && s.reachable && s.worker.Born == s.workerBorn
+	return !s.draining && s.worker != nil && !s.worker.Draining && s.clockKnown && s.reachable && !s.instanceInDoubt && s.worker.Born == s.workerBorn
 }
 
 func (s *State) freeCapacity() link.Resources {
--- a/runner/types.go
+++ b/runner/types.go
@@ -242,6 +242,11 @@
 	MaxStopTime time.Duration
 }
 
+// MaxEventGap is the time without an event, or between two tries of a start call, from which
+// on the process counts as held up for so long that the worker may have restarted unnoticed.
+// Events are 25 ms apart at most, tries 70 ms.
+const MaxEventGap = 250 * time.Millisecond
+
 const (
 	// clockDrift is the fraction by which the worker's clock may run slower than
 	// the agent's. The platform guarantees this bound.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -59,13 +59,17 @@
 	if s.lossy(now) && len(s.runs) > 0 {
 		return maxLossyRenewals
 	}
+	if s.instanceInDoubt {
+		// The worker may hold the one that was sent before.
+		return 2
+	}
 	return 1
 }
 
 func (s *State) renew(now time.Duration) {
 	c := &RenewCall{LastEndNumber: s.lastEndNumber, MaxWait: idleRenewWait}
 	switch {
-	case len(s.runs) > 0 && s.lossy(now):
+	case s.instanceInDoubt, len(s.runs) > 0 && s.lossy(now):
 		c.MaxWait = 0
 	case len(s.runs) > 0:
 		c.MaxWait = busyRenewWait
@@ -110,6 +114,10 @@
 	s.detectSuspension(now)
 	if c.WorkerBorn == s.workerBorn {
 		s.updateClock(now, clock)
+		if result == StartNotSent || result == StartLeaseExpired {
+			// Nothing listens, or the clock is not the known one: the worker may be restarting.
+			s.doubtInstance(now)
+		}
 	}
 	r := s.runs[runKey{c.Task, c.Attempt}]
 	if c.Unanswered = c.Unanswered || result == StartUnanswered; c.Unanswered {
@@ -207,6 +215,11 @@
 	s.reachable = false
 }
 
+// doubtInstance lets the worker get no starts until it has answered another renewal.
+func (s *State) doubtInstance(now time.Duration) {
+	s.instanceInDoubt, s.doubtSince, s.nextRenewAt = true, now, min(s.nextRenewAt, now)
+}
+
 // renewBackoff returns the delay before the next renewal after a failed one.
 // After a timeout no delay is needed. From the second consecutive failure on, a
 // closed connection needs one: calls that fail at once would otherwise be repeated
@@ -246,6 +259,7 @@
 		s.log(decisions.Info("worker answers", "born", reply.Born, "running", len(reply.Running)))
 	}
 	s.reachable, s.lastAnswerAt, s.renewFailures = true, now, 0
+	s.instanceInDoubt = s.instanceInDoubt && sentAt < s.doubtSince
 	s.updateClock(now, reply.Clock)
 	s.useRestored()
 	if reply.Unreadable != s.unreadableRows {
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -115,7 +115,7 @@
 	starts   chan runner.StartCall
 	stops    chan runner.StopCall
 	metrics  metrics
-	// workerBorn is runner.State.WorkerBorn, for the goroutines that make calls.
+	// workerBorn is runner.State.StartableBorn, for the goroutines that make calls.
 	workerBorn atomic.Int64
 
 	// The fields below are owned by the event loop.
@@ -221,7 +221,7 @@
 func (a *Agent) performActions() {
 	now := clock.SinceBoot()
 	out := a.state.TakeActions(now)
-	a.workerBorn.Store(a.state.WorkerBorn())
+	a.workerBorn.Store(a.state.StartableBorn())
 	for _, c := range out.Starts {
 		select {
 		case a.starts <- c:
@@ -318,15 +318,15 @@
 	}
 }
 
-// startWithRetries repeats a start call that has no answer, as long as the worker is the
-// instance that the call is for, and the lease in the call has not expired. The rejection
-// of a repeated call counts as no answer, since it doesn't tell the outcome of the first
-// one: its run may have ended already, or may still start. unanswered reports whether an
-// attempt had no answer.
+// startWithRetries repeats a start call that has no answer, as long as the worker is known to
+// be the instance that the call is for, and the lease in the call has not expired. After a
+// pause of runner.MaxEventGap it may have restarted unnoticed. The rejection of a repeated
+// call counts as no answer, since it doesn't tell the outcome of the first one: its run may
+// have ended already, or may still start. unanswered reports whether an attempt had no answer.
 func (a *Agent) startWithRetries(ctx context.Context, c runner.StartCall) (result runner.StartResult, workerClock int64, unanswered bool) {
 	result = runner.StartNotSent
 	for n := 0; n < maxCallAttempts && a.workerBorn.Load() == c.WorkerBorn && clock.SinceBoot() < c.ExpiresAt; n++ {
-		calledAt := time.Now()
+		calledAt, began := time.Now(), clock.SinceBoot()
 		answer, clockOfAnswer := a.opts.Worker.Start(ctx, c)
 		switch {
 		case answer == runner.StartOK:
@@ -337,6 +337,9 @@
 			return answer, clockOfAnswer, false
 		}
 		waitForRetry(calledAt)
+		if clock.SinceBoot()-began >= runner.MaxEventGap {
+			break
+		}
 	}
 	return result, 0, unanswered
 }
