Tell entries how long a leaving worker stays

A draining worker announces how long it stays at least; the agent only logged it, so that entries lost the tasks that could not end in time.

The agent counts the time down from the arrival of the announcement and puts it into each report (LeavesMS). Entries get a report at once when the time becomes known, ends or changes by more than 50 ms. It has the progress of their runs, which is reported every 90 ms from then on also for runs that are not late. A restored announcement says nothing: its age is unknown.

Nothing reads the time yet.

--- a/link/messages.go
+++ b/link/messages.go
@@ -193,8 +193,8 @@
 	RanMS int64
 }
 
-// Progress reports the progress of an attempt that will not be done when it is due, or
-// that makes no progress.
+// Progress reports the progress of an attempt that will not be done when it is due, that
+// makes no progress, or whose worker leaves.
 type Progress struct {
 	Task    TaskID
 	Attempt uint32
--- a/runner/state.go
+++ b/runner/state.go
@@ -121,6 +121,7 @@
 	reportedAccepting bool
 	reportedSpeed     float64
 	reportedRevision  uint64
+	reportedLeavesAt  time.Duration
 	// reportDue requests a report even if pending is nil.
 	reportDue bool
 }
@@ -158,6 +159,8 @@
 	// is used once the worker turns out to be the same instance.
 	restored *Announcement
 	draining bool
+	// leavesAt is until when a draining worker stays at least; 0 when unknown.
+	leavesAt time.Duration
 	// clockOffset is the worker's clock minus the agent's in milliseconds, valid
 	// if clockKnown.
 	clockOffset int64
@@ -367,6 +370,7 @@
 			"draining", a.Draining, "leaves_in_ms", a.Leaves.Milliseconds()))
 	}
 	s.worker = &a
+	s.noteLeaves(now, &a)
 	if !s.reachable {
 		// The worker may be reachable again; check at once.
 		s.nextRenewAt = now
@@ -407,7 +411,7 @@
 // apart by the new instance's lists.
 func (s *State) workerRestarted(now time.Duration, born int64, how string) {
 	s.log(decisions.Warn("worker has restarted", "how", how, "born", born, "former_born", s.workerBorn, "runs", len(s.runs)))
-	s.workerBorn, s.bornKnownAt, s.lastEndNumber, s.clockKnown, s.worker = born, now, 0, false, nil
+	s.workerBorn, s.bornKnownAt, s.lastEndNumber, s.clockKnown, s.worker, s.leavesAt = born, now, 0, false, nil, 0
 	s.speed, s.lastFailureRate = newSpeedMeter(), 0
 	s.nextRenewAt = now
 	for _, r := range s.runs {
@@ -478,7 +482,7 @@
 	rep := s.pendingReport(conn)
 	rep.ClockMS = now.Milliseconds()
 	rep.Sequence, rep.Accepting, rep.Free = conn.sequence, s.accepting(), s.offeredCapacity(now)
-	rep.Speed, rep.FailureRate = float32(s.speed.speed()), float32(s.failureRate(now))
+	rep.Speed, rep.FailureRate, rep.LeavesMS = float32(s.speed.speed()), float32(s.failureRate(now)), s.leavesMS(now)
 	if w := s.worker; w != nil && s.workerRevision != conn.reportedRevision {
 		rep.Worker = &link.WorkerState{
 			Revision: s.workerRevision, ID: w.ID, Born: w.Born, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Labels: w.Labels,
@@ -486,7 +490,7 @@
 		conn.reportedRevision = s.workerRevision
 	}
 	conn.reportedAt, conn.reportedFree, conn.reportedAccepting, conn.reportedSpeed = now, rep.Free, rep.Accepting, s.speed.speed()
-	conn.pending, conn.reportDue = nil, false
+	conn.pending, conn.reportDue, conn.reportedLeavesAt = nil, false, s.leavesAt
 	return *rep
 }
 
@@ -506,7 +510,7 @@
 	reportInterval := max(minReportInterval, time.Duration(active)*reportIntervalPerEntry)
 	for _, conn := range s.connsByID {
 		workerChanged := s.worker != nil && s.workerRevision != conn.reportedRevision
-		if workerChanged || accepting != conn.reportedAccepting {
+		if workerChanged || accepting != conn.reportedAccepting || leaveChanged(s.leavesAt, conn.reportedLeavesAt) {
 			conn.reportDue = true
 			continue
 		}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -335,14 +335,10 @@
 	r.percent = percent
 	r.rate.observe(now, percent)
 	conn := s.conns[r.conn]
-	if conn == nil || r.phase != running || now-r.progressReportedAt < progressInterval || !r.needsAttention(now) {
+	if conn == nil || r.phase != running || now-r.progressReportedAt < progressInterval || s.leavesAt == 0 && !r.needsAttention(now) {
 		return
 	}
-	r.progressReportedAt = now
-	rep := s.pendingReport(conn)
-	rep.Progress = append(rep.Progress, link.Progress{
-		Task: k.task, Attempt: k.attempt, Percent: percent, RemainingMS: r.remainingMS(), IdleMS: (now - r.progressAt).Milliseconds(),
-	})
+	s.reportProgress(now, conn, r)
 }
 
 // needsAttention reports whether the entry may want to move the run: at its present rate
