Move tasks from workers that leave before they can end

What still runs on a worker when it leaves ends with it and starts elsewhere only when that is known, up to 866 ms later.

On the notice, and every 60 ms after it, an entry compares when its tasks there will end with the time left. Those that can't end in time are stopped, first those that can still be on time elsewhere, then those that end before their caller stops waiting; no more than have free capacity elsewhere. A task that misses the time by up to 100 ms stays if it would end later elsewhere. Starts that have not been sent are placed anew. Counters of tasks moved and lost, and a log line for each task moved.

Tests of dispatch and dispatchd with -race pass.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -27,7 +27,7 @@
 		slices.SortFunc(s.workersByName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 		s.byActivation = nil
 	}
-	w.connected, w.reported, w.active, w.activeSince = true, false, true, now
+	w.connected, w.reported, w.active, w.activeSince, w.leavesAt = true, false, true, now, 0
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
@@ -121,6 +121,7 @@
 	for i := range r.Progress {
 		s.taskProgressed(now, w, &r.Progress[i])
 	}
+	s.noteLeaves(now, w, r)
 	s.workersChanged()
 }
 
@@ -221,6 +222,9 @@
 	case link.Failed:
 		s.taskFailed(now, t, w)
 	default:
+		if w.leavesAt > 0 && e.Outcome != link.Stopped {
+			s.leaveLosses++
+		}
 		s.log(decisions.Info("attempt ended early", "job", t.id.Job, "task", t.describe(), "worker", w.name, "how", e.Outcome, "ran_ms", e.RanMS))
 		s.requeue(now, t)
 	}
@@ -270,7 +274,7 @@
 		return
 	}
 	t.progressAt = max(t.progressAt, now-time.Duration(p.IdleMS)*time.Millisecond)
-	t.percent = p.Percent
+	t.percent, t.progressReported = p.Percent, true
 	t.remaining = time.Duration(p.RemainingMS) * time.Millisecond
 	s.moveIfLate(now, t)
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -53,13 +53,17 @@
 	percent    uint8
 	progressAt time.Duration
 	remaining  time.Duration
-	failures   int
+	// progressReported says whether the agent has reported the progress of this attempt.
+	progressReported bool
+	failures         int
 	// countedFailures are the failures that were not attributed to the worker.
 	countedFailures int
 	// failedOn lists the workers on which the task failed or its start was rejected.
 	failedOn []string
 	// moves counts the stops that were issued to move the task to another worker.
 	moves int
+	// movesTo is the worker for which the task is being stopped because its own leaves.
+	movesTo *worker
 	// leaseExpiresAt is when a lost attempt must have ended. It doesn't hold while claimed,
 	// that is, from the claim of the attempt until its answer or the loss of the connection:
 	// the agent may have taken the claim and renew the lease.
@@ -111,6 +115,8 @@
 	// backoffUntil is the time until which a worker that refused a start gets no
 	// further start.
 	backoffUntil time.Duration
+	// leavesAt is until when a worker stays at least that drains; 0 when unknown.
+	leavesAt time.Duration
 	// unconfirmed are the resources of starts that the agent has not answered.
 	unconfirmed link.Resources
 	tasks       map[link.TaskID]*task
@@ -140,7 +146,11 @@
 	// lastUrgent is when each service last got a job of the highest priority.
 	lastUrgent    map[string]time.Duration
 	refusedStarts int64
-	cachedAnswers map[string]cachedAnswer
+	// leaveMoves counts the tasks that were moved from leaving workers, leaveLosses those
+	// that ended with theirs. nextLeaveReview is when reviewLeaving next looks at them.
+	leaveMoves, leaveLosses int64
+	nextLeaveReview         time.Duration
+	cachedAnswers           map[string]cachedAnswer
 	// cacheOrder holds the keys of cachedAnswers, the oldest first.
 	cacheOrder []string
 	// lastAttempts holds the highest attempt of jobs that ended within answerRetention, and
@@ -187,6 +197,7 @@
 func (s *Scheduler) TakeActions(now time.Duration) Actions {
 	if s.placementDue {
 		s.placementDue = false
+		s.reviewLeaving(now)
 		s.placeWaiting(now)
 		s.reviewActive(now)
 	}
@@ -212,11 +223,14 @@
 	// RefusedStarts counts the starts that agents refused since the entry started, most of
 	// them because other entries were faster.
 	RefusedStarts int64
+	// LeaveMoves counts the tasks that were moved from workers which announced when they
+	// leave, LeaveLosses those whose attempt ended with such a worker.
+	LeaveMoves, LeaveLosses int64
 }
 
 // Stats returns the present state.
 func (s *Scheduler) Stats() Stats {
-	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts}
+	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses}
 	for _, w := range s.workersByName {
 		if !w.connected {
 			continue
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -140,10 +140,9 @@
 	lastWake                        time.Duration
 	stoodStillFrom, stoodStillUntil time.Duration
 	lag                             lagMeter
-	// statsAt is when the state was last recorded for the metrics, and refusedStarts what
-	// it said of refused starts.
-	statsAt       time.Duration
-	refusedStarts int64
+	// recorded is the state that was last recorded for the metrics, at statsAt.
+	statsAt  time.Duration
+	recorded dispatch.Stats
 }
 
 // event is an event of the event loop. handle gets the time at which it is handled.
@@ -292,8 +291,8 @@
 		return
 	}
 	stats := d.scheduler.Stats()
-	d.metrics.recordStats(stats, stats.RefusedStarts-d.refusedStarts, d.lag.mean)
-	d.statsAt, d.refusedStarts = now, stats.RefusedStarts
+	d.metrics.recordStats(stats, d.recorded, d.lag.mean)
+	d.statsAt, d.recorded = now, stats
 }
 
 // checkSuspension returns the time, and tells the scheduler if the process was
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -22,9 +22,9 @@
 	starts          tally.Counter
 	stops           tally.Counter
 	connectionsLost tally.Counter
-	// The gauges and startsRefused are set from dispatch.Stats.
+	// The gauges and the counters next to them are set from dispatch.Stats.
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
-	startsRefused                                           tally.Counter
+	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -47,6 +47,7 @@
 		jobs:            scope.Gauge("jobs_in_progress"), waitingJobs: scope.Gauge("jobs_waiting"),
 		workersConnected: scope.Gauge("workers_connected"), workersActive: scope.Gauge("workers_active"),
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
+		leaveMoves: scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
@@ -60,15 +61,17 @@
 	return m
 }
 
-// recordStats sets the metrics that describe the present state. refused is the number of
-// refused starts since the last call.
-func (m *metrics) recordStats(s dispatch.Stats, refused int64, lag time.Duration) {
+// recordStats sets the metrics that describe the present state, and counts on from the one
+// that was last recorded.
+func (m *metrics) recordStats(s, last dispatch.Stats, lag time.Duration) {
 	m.jobs.Update(float64(s.Jobs))
 	m.waitingJobs.Update(float64(s.WaitingJobs))
 	m.workersConnected.Update(float64(s.ConnectedWorkers))
 	m.workersActive.Update(float64(s.ActiveWorkers))
 	m.lag.Update(lag.Seconds())
-	m.startsRefused.Inc(refused)
+	m.startsRefused.Inc(s.RefusedStarts - last.RefusedStarts)
+	m.leaveMoves.Inc(s.LeaveMoves - last.LeaveMoves)
+	m.leaveLosses.Inc(s.LeaveLosses - last.LeaveLosses)
 }
 
 func (m *metrics) recordAnswer(v *api.Verdict, took time.Duration) {
