Let workers of the co-simulation leave at short notice

New kind of fault "leave-worker": a worker drains, announces how long it stays, and crashes then, or at half of that time.

--- a/bench/interleaving/faults_test.go
+++ b/bench/interleaving/faults_test.go
@@ -27,12 +27,13 @@
 	bornBack
 	callsCrossLives
 	changeWorker
+	leaveWorker
 	faultKinds
 )
 
 var kindNames = []string{
 	"cut-pair", "cut-host", "silent-conns", "reset-conns", "delays", "kill-entry", "kill-agent", "freeze-entry", "freeze-agent", "slow-entry", "slow-agent",
-	"caller-reset", "lossy-worker", "slow-answers", "restart-worker", "born-back", "calls-cross-lives", "change-worker",
+	"caller-reset", "lossy-worker", "slow-answers", "restart-worker", "born-back", "calls-cross-lives", "change-worker", "leave-worker",
 }
 
 func (k faultKind) String() string { return kindNames[k] }
@@ -177,6 +178,28 @@
 		return fmt.Sprintf("step the clock of the worker of %s by %v", a.name, step), func() { a.worker.bornShift += step.Milliseconds() }
 	case callsCrossLives:
 		return "calls of former lives are carried out", func() { w.callsCrossLives = true }
+	case leaveWorker:
+		stays := r.between(200*ms, 2500*ms)
+		if r.IntN(4) == 0 {
+			length = stays / 2
+		} else {
+			length = stays + r.between(0, 100*ms)
+		}
+		down := r.between(20*ms, 200*ms)
+		return fmt.Sprintf("the worker of %s leaves in %v, announces %v, down %v", a.name, length, stays, down), func() {
+			k, life := a.worker, a.worker.life
+			if !k.alive || k.leavesAt > 0 {
+				return
+			}
+			k.leavesAt = w.now + stays
+			k.announce()
+			w.after(length, func() {
+				if k.alive && k.life == life {
+					k.crash()
+					w.after(down, func() { k.start(true) })
+				}
+			})
+		}
 	case changeWorker:
 		down := r.between(20*ms, 200*ms)
 		labels, capacity := labelSets[r.IntN(len(labelSets))], int64(taskNeed*(2+r.IntN(5)))
--- a/bench/interleaving/worker_test.go
+++ b/bench/interleaving/worker_test.go
@@ -64,6 +64,7 @@
 	id        string
 	labels    []string
 	capacity  int64
+	leavesAt  time.Duration
 	born      int64
 	startedAt time.Duration
 	// rate and offset define the worker's clock.
@@ -97,24 +98,30 @@
 	k.startedAt, k.born = k.w.now, bornBase+k.w.now.Milliseconds()+k.bornShift
 	k.rate, k.offset = 0.98+0.02*k.w.random.Float64(), k.w.random.Int64N(5000)
 	k.runs, k.highest = map[runKey]*workerRun{}, map[link.TaskID]uint32{}
-	k.ended, k.ends, k.lease, k.holds, k.sequence = nil, 0, 0, nil, 0
+	k.ended, k.ends, k.lease, k.holds, k.sequence, k.leavesAt = nil, 0, 0, nil, 0, 0
 	life := k.life
 	var beat func()
 	beat = func() {
 		if !k.alive || k.life != life {
 			return
 		}
-		k.sequence++
-		a := runner.Announcement{
-			ID: k.id, Born: k.born, Sequence: k.sequence, Service: "s", Zone: "z", Capacity: link.Resources{MilliCPU: k.capacity}, Labels: k.labels,
-		}
-		k.w.after(latency, func() { k.agent.announced(a) })
+		k.announce()
 		k.w.after(heartbeatInterval, beat)
 	}
 	k.w.after(k.w.between(0, 5*ms), beat)
 	k.w.note("", k.agent.name, "worker starts id=%s born=%d life=%d labels=%v capacity=%d", k.id, k.born, k.life, k.labels, k.capacity)
 }
 
+// announce sends a heartbeat to the agent.
+func (k *worker) announce() {
+	k.sequence++
+	a := runner.Announcement{
+		ID: k.id, Born: k.born, Sequence: k.sequence, Service: "s", Zone: "z", Capacity: link.Resources{MilliCPU: k.capacity}, Labels: k.labels,
+		Draining: k.leavesAt > 0, Leaves: max(k.leavesAt-k.w.now, 0),
+	}
+	k.w.after(latency, func() { k.agent.announced(a) })
+}
+
 func (k *worker) crash() {
 	if !k.alive {
 		return
