Drop the outcome of a call whose simulated agent has ended

The timeout of a call that an agent's former life had made was delivered to the next one if that began within the 50 ms: the goroutine of the former life went on in it, and told the new state of a start that it never made. No process does that.

--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -190,8 +190,12 @@
 // call makes one call to the worker. exec carries it out there; it may do so without an
 // answer, or late. done gets the outcome once.
 func (a *agent) call(timeout time.Duration, exec func(k *worker, reply, broken func()), done func(o outcome)) {
-	finished := false
+	finished, epoch := false, a.epoch
 	deliver := func(o outcome) {
+		if a.epoch != epoch {
+			// The process that made the call has ended.
+			return
+		}
 		a.run(0, func() {
 			if !finished {
 				finished = true
