Let the lease of an agent's former life pass before its runs count as ended

An entry claims an attempt of which a restarted agent has no record. The agent answers Unknown, stops the attempt and is to say that it isn't running when the worker has had the time to stop it or the lease has passed. But it knew no lease yet, took it for over at its next tick, and said so within 25 ms: the task started elsewhere while its first attempt was being stopped, or could still begin by a call of the former life.

The agent now begins with the longest lease that its former life can have left.

--- a/runner/doubt_test.go
+++ b/runner/doubt_test.go
@@ -9,6 +9,28 @@
 	"github.com/sesamelift/sesamelift/link"
 )
 
+// Guards against a task that runs twice because a restarted agent says that an attempt isn't
+// running, at its next tick after the first list: it knows no lease yet, but the start of the
+// attempt may be carried out until that of the former life has ended.
+func TestLeaseOfAFormerLifeIsNotOverAtOnce(t *testing.T) {
+	f := newReadyFixture(t)
+	f.s = New(f.now, f.s.opts)
+	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1", Incarnation: 11})
+	f.sendCommands(1, &link.Commands{Claims: []link.Claim{{Task: task("j", 0), Attempt: 1, Need: fourCoreNeed}}})
+	f.now += 5 * ms
+	f.answerRenewal()
+	f.takeActions()
+	f.Assert(f.reports[1].Answers[0].Result, qt.Equals, link.Unknown)
+	for end := f.now + f.s.opts.Lease; f.now < end; f.now += 20 * ms {
+		f.s.Tick(f.now)
+		f.sendCommands(1, &link.Commands{})
+		for _, r := range f.reports {
+			f.Assert(r.Answers, qt.HasLen, 0)
+			f.Assert(r.Ends, qt.HasLen, 0)
+		}
+	}
+}
+
 // Guards against a start on a worker of another kind, because the worker has restarted under
 // its ID while the agent was held up, or between two answers of a lossy worker.
 func TestNoStartWhileTheWorkerMayHaveRestartedUnnoticed(t *testing.T) {
--- a/runner/state.go
+++ b/runner/state.go
@@ -214,10 +214,13 @@
 
 // New returns the state of an agent that starts at now.
 func New(now time.Duration, o Options) *State {
-	return &State{
+	s := &State{
 		opts: o, startedAt: now, lastEventAt: now, conns: map[ConnID]*entryConn{}, runs: map[runKey]*run{}, recentEnds: map[runKey]recentEnd{}, unansweredStarts: map[runKey]unansweredStart{},
 		speed: newSpeedMeter(),
 	}
+	// A former life of the agent may just have extended the lease.
+	s.extendLease(now, now+o.Lease)
+	return s
 }
 
 // TakeActions returns the actions that have become due since the last call.
