Place waiting tasks before tasks move from leaving workers

Callers saw tasks lose their progress for nothing: a task on a leaving worker was stopped for free capacity that a waiting task got in the same pass, often the one that had been moved before. The review of leaving workers ran before the placement, and the capacity promised to a moved task was no longer counted once its former attempt had ended.

The review now runs after the placement, so that it sees the starts of the same pass, and counts the capacity of moved tasks until they start.

--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -49,21 +49,20 @@
 	}
 	s.nextLeaveReview = now + leaveReviewInterval
 	var tasks []*task
-	// promised is the capacity that tasks will take which are being stopped already.
-	promised := map[*worker]link.Resources{}
 	for _, w := range s.workersByName {
 		if w.leavesAt == 0 || !w.connected {
 			continue
 		}
 		for _, t := range w.tasks {
-			switch {
-			case t.phase == stopping && t.movesTo != nil:
-				promised[t.movesTo] = promised[t.movesTo].Add(t.step().Need)
-			case t.phase == running && t.moves < maxMoves && s.predictEnd(now, t) > w.leavesAt-moveCost:
+			if t.phase == running && t.moves < maxMoves && s.predictEnd(now, t) > w.leavesAt-moveCost {
 				tasks = append(tasks, t)
 			}
 		}
 	}
+	if len(tasks) == 0 {
+		return
+	}
+	promised := s.promisedCapacity()
 	slices.SortFunc(tasks, func(a, b *task) int {
 		return cmp.Or(cmp.Compare(a.job.dueAt, b.job.dueAt), strings.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
 	})
@@ -72,6 +71,25 @@
 	s.moveLeaving(now, tasks, promised, answered)
 }
 
+// promisedCapacity returns the capacity that moved tasks will take on each worker. Their
+// former attempts are being stopped, or have ended and the tasks wait for a start.
+func (s *Scheduler) promisedCapacity() map[*worker]link.Resources {
+	promised := map[*worker]link.Resources{}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.promised() {
+				promised[t.movesTo] = promised[t.movesTo].Add(t.step().Need)
+			}
+		}
+	}
+	return promised
+}
+
+// promised reports whether capacity of the worker movesTo is kept for the task.
+func (t *task) promised() bool {
+	return t.movesTo != nil && (t.phase == stopping || t.phase == ready)
+}
+
 // moveLeaving moves those of the tasks that another worker with free capacity ends by the
 // given limit of their job, and returns the others.
 func (s *Scheduler) moveLeaving(now time.Duration, tasks []*task, promised map[*worker]link.Resources, limit func(j *job) time.Duration) (left []*task) {
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -101,6 +101,43 @@
 	}
 }
 
+// Guards against a task that is stopped for capacity which another one gets in the same pass:
+// one that was moved before and whose end has just been reported.
+func TestCapacityGoesToWaitingTasksBeforeOthersMove(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	starts := h.startOn("w1", 5*time.Second, 1500*ms, 1400*ms)
+	h.addWorker("w2", 1, 1)
+	h.now += 20 * ms
+	h.leave("w1", 300*ms, &link.Report{})
+	h.Assert(h.takeStops(), qt.DeepEquals, []string{"w1-1"})
+	h.now += leaveReviewInterval
+	h.leave("w1", 240*ms, &link.Report{Ends: []link.End{ended(starts[1], link.Stopped)}})
+	h.takeActions()
+	h.Assert(h.commands, qt.HasLen, 1)
+	h.Assert(h.commands[0].Worker, qt.Equals, "w2")
+	h.Assert(h.commands[0].Starts, qt.HasLen, 1)
+}
+
+// Guards against two moves to the same capacity: the first task has ended, but waits a little
+// for a faster worker.
+func TestCapacityIsKeptForAMovedTaskThatWaits(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	starts := h.startOn("w1", 5*time.Second, 1000*ms, 1000*ms)
+	h.addWorker("w2", 1, 0.5)
+	h.addWorker("w3", 1, 1)
+	h.report("w3", 0, 1, &link.Report{})
+	h.now += 20 * ms
+	h.leave("w1", 300*ms, &link.Report{})
+	h.Assert(h.takeStops(), qt.DeepEquals, []string{"w1-0"})
+	h.leave("w1", 300*ms, &link.Report{Ends: []link.End{ended(starts[0], link.Stopped)}})
+	h.Assert(h.takeStarts(), qt.HasLen, 0)
+	h.now += leaveReviewInterval
+	h.s.Tick(h.now)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+}
+
 // Guards against moves by which a task comes in later or not at all: one whose progress shows
 // that it ends in time, one that misses the announced time by little and would take longer
 // elsewhere, one whose caller doesn't wait for the end elsewhere, and one that was moved
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -62,7 +62,8 @@
 	failedOn []string
 	// moves counts the stops that were issued to move the task to another worker.
 	moves int
-	// movesTo is the worker for which the task is being stopped because its own leaves.
+	// movesTo is the worker whose capacity a moved task will need, from its stop until its
+	// next start.
 	movesTo *worker
 	// leaseExpiresAt is when a lost attempt must have ended. It doesn't hold while claimed,
 	// that is, from the claim of the attempt until its answer or the loss of the connection:
@@ -197,8 +198,10 @@
 func (s *Scheduler) TakeActions(now time.Duration) Actions {
 	if s.placementDue {
 		s.placementDue = false
-		s.reviewLeaving(now)
+		// Waiting tasks come first: a task that is stopped for capacity which one of them
+		// takes in the same pass would lose its progress for nothing.
 		s.placeWaiting(now)
+		s.reviewLeaving(now)
 		s.reviewActive(now)
 	}
 	out := s.pending
