Don't take missing progress reports for a task that stands still

Callers saw tasks that would have ended in time stopped on a leaving worker when no report of their progress had come for 250 ms, as on a slow link or host. The review compared the time of the last progress with the present time.

It now compares it with the time at which the agent last reported the progress, so that only a report that says so makes a task count as stalled.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -179,7 +179,7 @@
 		if t.phase != stopping {
 			t.phase = running
 		}
-		t.phaseSince, t.startedAt, t.progressAt = now, now, now
+		t.phaseSince, t.startedAt, t.progressAt, t.progressHeardAt = now, now, now, now
 	case link.Unknown:
 		// The attempt may be running until its lease expires.
 		t.phase = lost
@@ -274,7 +274,7 @@
 		return
 	}
 	t.progressAt = max(t.progressAt, now-time.Duration(p.IdleMS)*time.Millisecond)
-	t.percent, t.progressReported = p.Percent, true
+	t.percent, t.progressHeardAt = p.Percent, now
 	t.remaining = time.Duration(p.RemainingMS) * time.Millisecond
 	s.moveIfLate(now, t)
 }
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -144,10 +144,11 @@
 }
 
 // predictEnd returns when a running task will end on its worker: by its progress if that is
-// known, else by its estimate and the worker's speed. It is far off for a stalled task.
+// known, else by its estimate and the worker's speed. It is far off for a task that was
+// reported as stalled; that no reports come tells nothing of the task.
 func (s *Scheduler) predictEnd(now time.Duration, t *task) time.Duration {
 	switch {
-	case now-t.progressAt >= stallTimeout && t.progressReported:
+	case t.progressHeardAt-t.progressAt >= stallTimeout:
 		return math.MaxInt64
 	case t.remaining >= 0:
 		return t.progressAt + t.remaining
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -184,6 +184,24 @@
 	}
 }
 
+// Guards against a task that is stopped because its agent or the link is slow: that no report
+// has come for longer than stallTimeout doesn't mean that the task stands still.
+func TestMissingReportsAreNoStall(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	starts := h.startOn("w1", 5*time.Second, 1000*ms)
+	h.addWorker("w2", 8, 1)
+	h.advance(300 * ms)
+	h.leave("w1", 1200*ms, &link.Report{Progress: []link.Progress{{Task: starts[0].Task, Attempt: 1, Percent: 30, RemainingMS: 700}}})
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	h.advance(stallTimeout + leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	// A report that says so does.
+	h.leave("w1", 890*ms, &link.Report{Progress: []link.Progress{{Task: starts[0].Task, Attempt: 1, Percent: 30, RemainingMS: 700, IdleMS: 310}}})
+	h.advance(leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 1)
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -282,7 +282,7 @@
 func (s *Scheduler) start(now time.Duration, t *task, w *worker) {
 	t.attempt++
 	t.phase, t.phaseSince, t.worker = starting, now, w
-	t.percent, t.remaining, t.progressAt, t.progressReported, t.movesTo = 0, -1, now, false, nil
+	t.percent, t.remaining, t.progressAt, t.progressHeardAt, t.movesTo = 0, -1, now, now, nil
 	need := t.step().Need
 	w.unconfirmed = w.unconfirmed.Add(need)
 	w.tasks[t.id] = t
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -53,9 +53,10 @@
 	percent    uint8
 	progressAt time.Duration
 	remaining  time.Duration
-	// progressReported says whether the agent has reported the progress of this attempt.
-	progressReported bool
-	failures         int
+	// progressHeardAt is when the agent last reported the progress of this attempt, and equal
+	// to progressAt until it has done so on the present connection.
+	progressHeardAt time.Duration
+	failures        int
 	// countedFailures are the failures that were not attributed to the worker.
 	countedFailures int
 	// failedOn lists the workers on which the task failed or its start was rejected.
