Keep the start and progress of a run whose claim is answered

Callers saw tasks that would have ended in time stopped after their agent had been out of reach for a while and its worker was leaving: the answer to the claim set the start and the last progress of the run to the present time, and its predicted end was too late by the time that it had run.

Both are now set only when the agent confirms an attempt for the first time. The agent adds the progress to its answer while it knows when the worker leaves, so that the entry decides by the state of the run and not by that before the loss.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -179,7 +179,12 @@
 		if t.phase != stopping {
 			t.phase = running
 		}
-		t.phaseSince, t.startedAt, t.progressAt, t.progressHeardAt = now, now, now, now
+		t.phaseSince, t.progressHeardAt = now, t.progressAt
+		if !t.confirmed {
+			// The answer to the claim of an attempt that was confirmed before tells nothing
+			// of when it began.
+			t.confirmed, t.startedAt, t.progressAt, t.progressHeardAt = true, now, now, now
+		}
 	case link.Unknown:
 		// The attempt may be running until its lease expires.
 		t.phase = lost
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -202,6 +202,25 @@
 	h.Assert(h.takeStops(), qt.HasLen, 1)
 }
 
+// Guards against a task that is stopped although it ends in time, because its agent was out of
+// reach for a while: the answer to the claim doesn't mean that the run begins anew.
+func TestProgressBeforeAReconnectCounts(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	starts := h.startOn("w1", 5*time.Second, 1000*ms, 800*ms)
+	h.addWorker("w2", 8, 1)
+	h.advance(600 * ms)
+	// The first task has reported progress, the second has not.
+	h.leave("w1", 600*ms, &link.Report{Progress: []link.Progress{{Task: starts[0].Task, Attempt: 1, Percent: 60, RemainingMS: 400}}})
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	h.s.AgentDisconnected(h.now, "w1", "timeout")
+	h.now += 300 * ms
+	h.s.AgentConnected(h.now, "w1")
+	h.takeStops()
+	h.leave("w1", 300*ms, &link.Report{Answers: []link.StartAnswer{started(starts[0]), started(starts[1])}})
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -44,9 +44,10 @@
 	// stop was sent. A task that is lost because of a link.Unknown answer keeps the
 	// time of its earlier phase.
 	phaseSince time.Duration
-	// startedAt is when the agent last confirmed an attempt, in answer to a start or
-	// a claim.
+	// startedAt is when the agent first confirmed an attempt, the last one for which it
+	// did, in answer to a start or a claim. confirmed says whether that is the present one.
 	startedAt time.Duration
+	confirmed bool
 	// percent is the last reported progress, and progressAt is when the attempt last
 	// made progress according to that report. remaining is the run time left according to that report; it is
 	// negative while no progress has been observed.
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -103,6 +103,10 @@
 		if r.confirmedAt > 0 {
 			r.startReported = true
 			s.answer(conn, k, link.Started)
+			if s.leavesAt > 0 && r.phase == running {
+				// The entry decides at once whether the run ends before the worker leaves.
+				s.reportProgress(now, conn, r)
+			}
 		}
 		return
 	}
--- a/runner/leaving_test.go
+++ b/runner/leaving_test.go
@@ -61,6 +61,25 @@
 	f.Assert(f.reports[1].LeavesMS, qt.Equals, int64(0))
 }
 
+// Guards against an entry that decides without the progress of a run whether it ends before
+// the worker leaves, because it has lost the reports with an earlier connection.
+func TestClaimOnALeavingWorkerIsAnsweredWithTheProgress(t *testing.T) {
+	f := newReadyFixture(t)
+	f.startRun(1, start("j", 0))
+	f.advance(100 * ms)
+	f.answerRenewal(ListedRun{Task: task("j", 0), Attempt: 1, Percent: 10})
+	f.leaving(1, 2200*ms)
+	f.s.EntryDisconnected(f.now, 1, "timeout")
+	f.now += 20 * ms
+	f.s.EntryConnected(f.now, 2, link.Hello{Entry: "e1", Incarnation: 11})
+	f.sendCommands(2, &link.Commands{Claims: []link.Claim{{Task: task("j", 0), Attempt: 1, Need: fourCoreNeed}}})
+	told := f.reports[2]
+	f.Assert(told.Answers, qt.HasLen, 1)
+	f.Assert(told.Answers[0].Result, qt.Equals, link.Started)
+	f.Assert(told.Progress, qt.HasLen, 1)
+	f.Assert(told.Progress[0].Percent, qt.Equals, uint8(10))
+}
+
 // Guards against a time that counts from the restart of the agent: it isn't known how long
 // ago the stored announcement came.
 func TestRestoredAnnouncementSaysNothingOfTheTimeLeft(t *testing.T) {
