Count moved tasks for the tasks permitted per worker

Callers with a limit of tasks per worker saw tasks of a leaving worker stopped that then waited: the review looked only at the tasks which the other worker had, not at those of the same step that were being stopped to start there.

The review now counts both, as it does for the capacity.

--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		eligible = true
-		if now < w.backoffUntil || !t.step().Need.FitsIn(w.available().Sub(promised[w])) {
+		if now < w.backoffUntil || !t.step().Need.FitsIn(w.available().Sub(promised[w])) || !t.fitsBesidePromised(w) {
 			continue
 		}
 		runTime := max(s.predictRunTime(t, w), s.runTimeAtSpeed(now, t, w.speed))
@@ -180,6 +180,22 @@
 	return best, end
 }
 
+// fitsBesidePromised reports whether the tasks of the step on a worker, and those that will
+// start there after their move, leave one for t by Step.MaxPerWorker.
+func (t *task) fitsBesidePromised(w *worker) bool {
+	limit := t.step().MaxPerWorker
+	if limit == 0 {
+		return true
+	}
+	n := 0
+	for _, other := range t.job.tasks {
+		if other.id.Step == t.id.Step && (w.tasks[other.id] == other || other.promised() && other.movesTo == w) {
+			n++
+		}
+	}
+	return n < limit
+}
+
 // runTimeAtSpeed returns the run time of a running task on another worker of some speed. A
 // task that runs longer than declared is assumed to do so there too.
 func (s *Scheduler) runTimeAtSpeed(now time.Duration, t *task, speed float64) time.Duration {
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -138,6 +138,35 @@
 	h.Assert(h.takeStops(), qt.HasLen, 0)
 }
 
+// Guards against a task that is stopped for a worker on which it may not start: as many of its
+// step as are permitted there are about to.
+func TestMovesKeepToTheTasksPermittedPerWorker(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	j := h.newJob("a", 3, 1000*ms)
+	j.Deadline = h.now + 5*time.Second
+	j.Steps[0].MaxPerWorker = 3
+	h.mustAccept(j)
+	starts := h.takeStarts()["w1"]
+	h.Assert(starts, qt.HasLen, 3)
+	h.report("w1", 5, 1, &link.Report{Answers: []link.StartAnswer{started(starts[0]), started(starts[1]), started(starts[2])}})
+	h.addWorker("w2", 8, 1)
+	h.s.jobs["a"].Steps[0].MaxPerWorker = 1
+	h.now += 20 * ms
+	h.leave("w1", 300*ms, &link.Report{})
+	h.Assert(h.takeStops(), qt.HasLen, 1)
+	h.advance(leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	// The moved one runs there now.
+	h.leave("w1", 240*ms, &link.Report{Ends: []link.End{ended(starts[0], link.Stopped)}})
+	h.Assert(h.takeStarts()["w2"], qt.HasLen, 1)
+	h.advance(leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	h.addWorker("w3", 8, 1)
+	h.advance(leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 1)
+}
+
 // Guards against moves by which a task comes in later or not at all: one whose progress shows
 // that it ends in time, one that misses the announced time by little and would take longer
 // elsewhere, one whose caller doesn't wait for the end elsewhere, and one that was moved
