Tell starts that were not called from those that found nothing listening

Callers saw workers without starts for longer than needed after a doubt about their instance: starts that were still queued were not called, had the same result as a call for which nothing listens, and so renewed the doubt. The answer to the renewal that had been sent since the first doubt then no longer ended it.

The new result StartNotCalled is answered with Refused like before and causes no doubt, as it tells nothing of the worker. It is also that of a start for which the call queue is full. The two rows of TestStartCallsEndWithTheWorkerInstance in which no call is made now expect it.

--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -85,7 +85,7 @@
 		c := a.starts[0]
 		a.starts = a.starts[1:]
 		a.startsRunning++
-		a.run(0, func() { a.startWithRetries(c, 0, runner.StartNotSent) })
+		a.run(0, func() { a.startWithRetries(c, 0, runner.StartNotCalled) })
 	}
 	for a.stopsRunning < callConcurrency/2 && len(a.stops) > 0 {
 		c := a.stops[0]
@@ -125,7 +125,7 @@
 			return
 		case answer == runner.StartUnanswered:
 			result, c.Unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotSent:
+		case result == runner.StartNotCalled:
 			finish(answer, clock)
 			return
 		}
--- a/runner/doubt_test.go
+++ b/runner/doubt_test.go
@@ -67,3 +67,27 @@
 		})
 	}
 }
+
+// Guards against a worker that gets no starts for longer than needed: a start that was not called
+// because the worker was in doubt must not renew the doubt.
+func TestStartThatWasNotCalledCausesNoDoubt(t *testing.T) {
+	f := newReadyFixture(t)
+	a, b := start("j", 0), start("k", 0)
+	a.Need, b.Need = link.Resources{MilliCPU: 1}, link.Resources{MilliCPU: 1}
+	f.sendCommands(1, &link.Commands{Starts: []link.Start{a, b}})
+	calls := f.starts
+	f.Assert(calls, qt.HasLen, 2)
+	f.now += ms
+	f.s.StartDone(f.now, calls[0], StartLeaseExpired, 0)
+	f.takeActions()
+	f.Assert(f.s.StartableBorn(), qt.Equals, int64(0))
+	sentAt := f.now
+	f.now += ms
+	f.s.StartDone(f.now, calls[1], StartNotCalled, 0)
+	f.takeActions()
+	answers := f.reports[1].Answers
+	f.Assert(answers[len(answers)-1], qt.DeepEquals, link.StartAnswer{Task: b.Task, Attempt: b.Attempt, Result: link.Refused})
+	f.now += ms
+	f.s.Renewed(f.now, sentAt, &RenewReply{Clock: 5000 + f.now.Milliseconds(), Born: 7})
+	f.Assert(f.s.StartableBorn(), qt.Equals, int64(7))
+}
--- a/runner/types.go
+++ b/runner/types.go
@@ -144,8 +144,10 @@
 	StartLeaseExpired
 	// StartUnanswered means that the outcome is unknown.
 	StartUnanswered
-	// StartNotSent means that the worker can't have got the call.
+	// StartNotSent means that the worker can't have got the call: nothing listens.
 	StartNotSent
+	// StartNotCalled means that the call was not made. It tells nothing of the worker.
+	StartNotCalled
 )
 
 // StartCall starts a run on the worker.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -148,7 +148,7 @@
 	switch result {
 	case StartOutdated:
 		answer = link.Outdated
-	case StartRefused, StartNotSent:
+	case StartRefused, StartNotSent, StartNotCalled:
 		answer = link.Refused
 	}
 	if conn := s.conns[r.conn]; conn != nil {
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -226,7 +226,7 @@
 		select {
 		case a.starts <- c:
 		default:
-			a.state.StartDone(now, c, runner.StartNotSent, 0)
+			a.state.StartDone(now, c, runner.StartNotCalled, 0)
 		}
 	}
 	for _, c := range out.Stops {
@@ -324,7 +324,7 @@
 // call counts as no answer, since it doesn't tell the outcome of the first one: its run may
 // have ended already, or may still start. unanswered reports whether an attempt had no answer.
 func (a *Agent) startWithRetries(ctx context.Context, c runner.StartCall) (result runner.StartResult, workerClock int64, unanswered bool) {
-	result = runner.StartNotSent
+	result = runner.StartNotCalled
 	for n := 0; n < maxCallAttempts && a.workerBorn.Load() == c.WorkerBorn && clock.SinceBoot() < c.ExpiresAt; n++ {
 		calledAt, began := time.Now(), clock.SinceBoot()
 		answer, clockOfAnswer := a.opts.Worker.Start(ctx, c)
@@ -333,7 +333,7 @@
 			return answer, clockOfAnswer, unanswered
 		case answer == runner.StartUnanswered:
 			result, unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotSent:
+		case result == runner.StartNotCalled:
 			return answer, clockOfAnswer, false
 		}
 		waitForRetry(calledAt)
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -75,9 +75,9 @@
 		want                        runner.StartResult
 		calls                       int
 	}{
-		"restarted before the call":     {8, 8, time.Minute, runner.StartNotSent, 0},
+		"restarted before the call":     {8, 8, time.Minute, runner.StartNotCalled, 0},
 		"restarted during the call":     {7, 8, time.Minute, runner.StartUnanswered, 1},
-		"lease expired before the call": {7, 7, -time.Second, runner.StartNotSent, 0},
+		"lease expired before the call": {7, 7, -time.Second, runner.StartNotCalled, 0},
 		"lease expires during the call": {7, 7, 300 * time.Millisecond, runner.StartUnanswered, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
