Don't call a start that was held up before its first call

A start could reach a worker that had restarted as another kind, so that a task ran on a worker without its label: when the agent was held up while the start waited in its queue, the rule for pauses compared only the times of two tries and didn't apply to the first one.

The call now says when it was issued, and isn't made for the first time from runner.MaxEventGap on. The agent of the co-simulation does the same.

--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -102,7 +102,7 @@
 		a.w.note(c.Task.Job, a.name, "start call %v attempt %d: result %d after %d tries", c.Task, c.Attempt, r, n+1)
 		a.post(func(now time.Duration) { a.state.StartDone(now, c, r, clock) })
 	}
-	if n >= maxCallAttempts || a.born != c.WorkerBorn || a.now >= c.ExpiresAt {
+	if n == 0 && a.now-c.CreatedAt >= runner.MaxEventGap || n >= maxCallAttempts || a.born != c.WorkerBorn || a.now >= c.ExpiresAt {
 		finish(result, 0)
 		return
 	}
--- a/runner/doubt_test.go
+++ b/runner/doubt_test.go
@@ -77,6 +77,7 @@
 	f.sendCommands(1, &link.Commands{Starts: []link.Start{a, b}})
 	calls := f.starts
 	f.Assert(calls, qt.HasLen, 2)
+	f.Assert(calls[0].CreatedAt, qt.Equals, f.now)
 	f.now += ms
 	f.s.StartDone(f.now, calls[0], StartLeaseExpired, 0)
 	f.takeActions()
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -211,7 +211,7 @@
 	s.extendLease(now, leaseEnd)
 	s.actions.Starts = append(s.actions.Starts, StartCall{
 		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerTime(leaseEnd), WorkerID: s.worker.ID, WorkerBorn: s.workerBorn,
-		Need: c.Need, ExpiresAt: leaseEnd, Timeout: s.callTimeout(now),
+		Need: c.Need, CreatedAt: now, ExpiresAt: leaseEnd, Timeout: s.callTimeout(now),
 	})
 }
 
--- a/runner/types.go
+++ b/runner/types.go
@@ -163,6 +163,9 @@
 	WorkerID   string
 	WorkerBorn int64
 	Need       link.Resources
+	// CreatedAt is when the call was issued, by the agent's clock. It must not be made for the
+	// first time MaxEventGap or more after that: the worker may have restarted unnoticed.
+	CreatedAt time.Duration
 	// ExpiresAt is when the lease in the call has expired by the agent's clock. The call
 	// must not be made any more from then on: a worker that has restarted meanwhile has
 	// another clock, by which it can't tell.
@@ -244,8 +247,8 @@
 	MaxStopTime time.Duration
 }
 
-// MaxEventGap is the time without an event, or between two tries of a start call, from which
-// on the process counts as held up for so long that the worker may have restarted unnoticed.
+// MaxEventGap is the time without an event, before the first try of a start call, or between
+// two of its tries, from which on the process counts as held up for so long that the worker may have restarted unnoticed.
 // Events are 25 ms apart at most, tries 70 ms.
 const MaxEventGap = 250 * time.Millisecond
 
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -58,7 +58,7 @@
 	} {
 		worker := append(scriptedWorker{}, tc.answers...)
 		a := &Agent{opts: Options{Worker: &worker}}
-		got, _, unanswered := a.startWithRetries(context.Background(), runner.StartCall{ExpiresAt: clock.SinceBoot() + time.Minute})
+		got, _, unanswered := a.startWithRetries(context.Background(), runner.StartCall{CreatedAt: clock.SinceBoot(), ExpiresAt: clock.SinceBoot() + time.Minute})
 		qt.Assert(t, got, qt.Equals, tc.want, qt.Commentf("%v", tc.answers))
 		qt.Assert(t, unanswered, qt.Equals, tc.answers[0] == runner.StartUnanswered, qt.Commentf("%v", tc.answers))
 		qt.Assert(t, worker, qt.HasLen, tc.unused)
@@ -71,14 +71,15 @@
 	const born = 7
 	for name, tc := range map[string]struct {
 		bornAtFirst, bornAfterACall int64
-		lease                       time.Duration
+		queued, lease               time.Duration
 		want                        runner.StartResult
 		calls                       int
 	}{
-		"restarted before the call":     {8, 8, time.Minute, runner.StartNotCalled, 0},
-		"restarted during the call":     {7, 8, time.Minute, runner.StartUnanswered, 1},
-		"lease expired before the call": {7, 7, -time.Second, runner.StartNotCalled, 0},
-		"lease expires during the call": {7, 7, 300 * time.Millisecond, runner.StartUnanswered, 1},
+		"restarted before the call":     {8, 8, 0, time.Minute, runner.StartNotCalled, 0},
+		"restarted during the call":     {7, 8, 0, time.Minute, runner.StartUnanswered, 1},
+		"held up before the call":       {7, 7, runner.MaxEventGap, time.Minute, runner.StartNotCalled, 0},
+		"lease expired before the call": {7, 7, 0, -time.Second, runner.StartNotCalled, 0},
+		"lease expires during the call": {7, 7, 0, 300 * time.Millisecond, runner.StartUnanswered, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			worker := repeated(runner.StartUnanswered, maxCallAttempts)
@@ -90,7 +91,9 @@
 					time.Sleep(tc.lease)
 				}
 			}}
-			got, _, _ := a.startWithRetries(context.Background(), runner.StartCall{WorkerBorn: born, ExpiresAt: clock.SinceBoot() + tc.lease})
+			got, _, _ := a.startWithRetries(context.Background(), runner.StartCall{
+				WorkerBorn: born, CreatedAt: clock.SinceBoot() - tc.queued, ExpiresAt: clock.SinceBoot() + tc.lease,
+			})
 			qt.Assert(t, got, qt.Equals, tc.want)
 			qt.Assert(t, worker, qt.HasLen, maxCallAttempts-tc.calls)
 		})
