Count losses with leaving workers by the tasks that were on them

Operators saw too few tasks counted as lost with leaving workers: the count looked at whether the worker was still known to leave, which ends with its restart, and the agent often reports the restart before the ends of the runs.

Tasks are now marked with each report that says when their worker leaves, and counted by the mark. It is removed if the same instance takes starts again.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -227,7 +227,7 @@
 	case link.Failed:
 		s.taskFailed(now, t, w)
 	default:
-		if w.leavesAt > 0 && e.Outcome != link.Stopped {
+		if t.onLeaving && e.Outcome != link.Stopped {
 			s.leaveLosses++
 		}
 		s.log(decisions.Info("attempt ended early", "job", t.id.Job, "task", t.describe(), "worker", w.name, "how", e.Outcome, "ran_ms", e.RanMS))
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -35,6 +35,17 @@
 		s.nextLeaveReview = now
 		s.replaceUnsentStarts(now, w)
 	}
+	switch {
+	case leavesAt > 0:
+		for _, t := range w.tasks {
+			t.onLeaving = true
+		}
+	case w.leavesAt > 0 && r.Accepting && r.Worker == nil:
+		// The same instance takes starts again: it stays.
+		for _, t := range w.tasks {
+			t.onLeaving = false
+		}
+	}
 	w.leavesAt = leavesAt
 }
 
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -250,6 +250,27 @@
 	h.Assert(h.takeStops(), qt.HasLen, 0)
 }
 
+// Guards against losses with leaving workers that aren't counted since the agent hears of the
+// restart before it knows how the runs ended, and against counting those of a worker that stays.
+func TestLossesWithLeavingWorkersAreCounted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		accepting bool
+		want      int64
+	}{"the worker restarts": {false, 1}, "the worker stays after all": {true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1", 8, 1)
+			starts := h.startOn("w1", 5*time.Second, 1000*ms)
+			h.leave("w1", 100*ms, &link.Report{})
+			h.takeStops()
+			h.now += 150 * ms
+			h.leave("w1", 0, &link.Report{Accepting: tc.accepting})
+			h.leave("w1", 0, &link.Report{Ends: []link.End{ended(starts[0], link.WorkerLost)}})
+			h.Assert(h.s.Stats().LeaveLosses, qt.Equals, tc.want)
+		})
+	}
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -281,7 +281,7 @@
 // start issues a start of the next attempt of a task at a worker.
 func (s *Scheduler) start(now time.Duration, t *task, w *worker) {
 	t.attempt++
-	t.phase, t.phaseSince, t.worker, t.confirmed = starting, now, w, false
+	t.phase, t.phaseSince, t.worker, t.confirmed, t.onLeaving = starting, now, w, false, false
 	t.percent, t.remaining, t.progressAt, t.progressHeardAt, t.movesTo = 0, -1, now, now, nil
 	need := t.step().Need
 	w.unconfirmed = w.unconfirmed.Add(need)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -67,6 +67,9 @@
 	// movesTo is the worker whose capacity a moved task will need, from its stop until its
 	// next start.
 	movesTo *worker
+	// onLeaving says that the worker of the attempt has announced when it leaves. It stays
+	// set after the restart of the worker, of which a report may come before that of the end.
+	onLeaving bool
 	// leaseExpiresAt is when a lost attempt must have ended. It doesn't hold while claimed,
 	// that is, from the claim of the attempt until its answer or the loss of the connection:
 	// the agent may have taken the claim and renew the lease.
