Keep capacity for tasks that move from slow workers too

A task could be stopped on a leaving worker for capacity that a task which was being moved from a slow worker had been stopped for: only moves from leaving workers recorded where the task goes. Both now stop the task with the same function, which does.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -176,15 +176,15 @@
 	switch a.Result {
 	case link.Started:
 		t.job.started = true
-		if t.phase != stopping {
-			t.phase = running
-		}
 		t.phaseSince, t.progressHeardAt = now, t.progressAt
 		if !t.confirmed {
 			// The answer to the claim of an attempt that was confirmed before tells nothing
 			// of when it began.
 			t.confirmed, t.startedAt, t.progressAt, t.progressHeardAt = true, now, now, now
 		}
+		if t.phase != stopping {
+			t.phase = running
+		}
 	case link.Unknown:
 		// The attempt may be running until its lease expires.
 		t.phase = lost
@@ -318,7 +318,17 @@
 	s.log(decisions.Info("task moved", "job", t.id.Job, "task", t.describe(), "from", t.worker.name, "to", other.name,
 		"percent", t.percent, "remaining_ms", remaining.Milliseconds(), "elsewhere_ms", otherRunTime.Milliseconds(),
 		"speed", t.worker.speed, "other_speed", other.speed))
+	s.stopToMove(now, t, other)
+}
+
+// stopToMove stops a running task so that it can start on another worker.
+func (s *Scheduler) stopToMove(now time.Duration, t *task, other *worker) {
 	t.moves++
+	t.movesTo = other
+	s.sendStop(now, t)
+}
+
+func (s *Scheduler) sendStop(now time.Duration, t *task) {
 	t.phase, t.phaseSince = stopping, now
 	c := s.command(t.worker)
 	c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
@@ -356,9 +366,7 @@
 			}
 		case stopping:
 			if now-t.phaseSince >= stopResendInterval {
-				t.phaseSince = now
-				c := s.command(t.worker)
-				c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
+				s.sendStop(now, t)
 			}
 		case ready:
 			waiting = true
--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -140,10 +140,7 @@
 		"percent", t.percent, "remaining_ms", boundedMS(s.predictEnd(now, t)-now), "leaves_in_ms", (t.worker.leavesAt - now).Milliseconds(),
 		"elsewhere_ms", (end - now).Milliseconds(), "on_time_ms", (t.job.dueAt - now).Milliseconds()))
 	s.leaveMoves++
-	t.moves++
-	t.phase, t.phaseSince, t.movesTo = stopping, now, other
-	c := s.command(t.worker)
-	c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
+	s.stopToMove(now, t, other)
 }
 
 // boundedMS returns a time in milliseconds, -1 for one that never comes.
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -271,6 +271,23 @@
 	}
 }
 
+// Guards against two moves to the same capacity, one of them from a worker that is only slow.
+func TestCapacityIsKeptForTasksOfSlowWorkers(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	slow := h.startOn("w1", 5*time.Second, 300*ms)[0]
+	h.report("w1", 0, 1, &link.Report{})
+	h.addWorker("w2", 8, 1)
+	h.startOn("w2", 5*time.Second, 1000*ms)
+	h.report("w2", 0, 1, &link.Report{})
+	h.addWorker("w3", 1, 1)
+	h.advance(200 * ms)
+	h.report("w1", 0, 0.15, &link.Report{Progress: []link.Progress{{Task: slow.Task, Attempt: slow.Attempt, Percent: 10, RemainingMS: 1800}}})
+	h.Assert(h.takeStops(), qt.DeepEquals, []string{"w1-0"})
+	h.leave("w2", 300*ms, &link.Report{})
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
