Let one rule decide on the tasks of leaving workers

A late task of a leaving worker was moved by the rule for slow workers, which doesn't count the capacity promised to other tasks, nor when the worker leaves. That rule now leaves such tasks to the review of leaving workers. The time in a report is recorded before the progress in it, so that this holds for the first report with a time as well.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -118,10 +118,10 @@
 	for i := range r.Ends {
 		s.attemptEnded(now, w, &r.Ends[i])
 	}
+	s.noteLeaves(now, w, r)
 	for i := range r.Progress {
 		s.taskProgressed(now, w, &r.Progress[i])
 	}
-	s.noteLeaves(now, w, r)
 	s.workersChanged()
 }
 
@@ -286,9 +286,9 @@
 
 // moveIfLate stops a task that its worker would finish late, if another worker
 // with free capacity would finish it sooner. A stalled task is assumed to need
-// until after the cutoff.
+// until after the cutoff. On a leaving worker, only reviewLeaving moves tasks.
 func (s *Scheduler) moveIfLate(now time.Duration, t *task) {
-	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 {
+	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 || t.worker.leavesAt > 0 {
 		return
 	}
 	remaining := t.remaining
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -288,6 +288,19 @@
 	h.Assert(h.takeStops(), qt.HasLen, 0)
 }
 
+// Guards against two rules that decide on a task of a leaving worker: one that is late but ends
+// before the worker leaves stays.
+func TestLateTaskOfALeavingWorkerStays(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	s := h.startOn("w1", 5*time.Second, 300*ms)[0]
+	h.addWorker("w2", 8, 1)
+	h.advance(200 * ms)
+	r := &link.Report{Speed: 0.15, LeavesMS: 2500, Progress: []link.Progress{{Task: s.Task, Attempt: s.Attempt, Percent: 10, RemainingMS: 1800}}}
+	h.s.AgentReported(h.now, "w1", r)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
