Stop a moved task again after its agent was out of reach

A task that was being stopped to move was taken for a running one once its agent had answered the claim after a reconnect. If the stop had been lost with the connection it went on, and could be moved a second time, which counted against its moves. It now goes back to phase stopping, and its stop is sent again.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -182,7 +182,11 @@
 			// of when it began.
 			t.confirmed, t.startedAt, t.progressAt, t.progressHeardAt = true, now, now, now
 		}
-		if t.phase != stopping {
+		switch {
+		case t.phase == lost && t.movesTo != nil:
+			// The stop may have been lost with the connection.
+			s.sendStop(now, t)
+		case t.phase != stopping:
 			t.phase = running
 		}
 	case link.Unknown:
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -301,6 +301,29 @@
 	h.Assert(h.takeStops(), qt.HasLen, 0)
 }
 
+// Guards against a moved task that goes on, and is moved a second time, after its agent was
+// out of reach: the stop may have been lost with the connection.
+func TestMovedTaskIsStoppedAgainAfterAReconnect(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	s := h.startOn("w1", 5*time.Second, 1000*ms)[0]
+	h.addWorker("w2", 8, 1)
+	h.now += 20 * ms
+	h.leave("w1", 600*ms, &link.Report{})
+	h.Assert(h.takeStops(), qt.HasLen, 1)
+	h.s.AgentDisconnected(h.now, "w1", "timeout")
+	h.now += 100 * ms
+	h.s.AgentConnected(h.now, "w1")
+	h.takeStops()
+	h.leave("w1", 500*ms, &link.Report{Answers: []link.StartAnswer{started(s)}})
+	h.Assert(h.takeStops(), qt.HasLen, 1)
+	h.advance(2 * leaveReviewInterval)
+	h.Assert(h.takeStops(), qt.HasLen, 0)
+	h.Assert(h.s.Stats().LeaveMoves, qt.Equals, int64(1))
+	h.leave("w1", 380*ms, &link.Report{Ends: []link.End{ended(s, link.Stopped)}})
+	h.Assert(h.takeStarts()["w2"], qt.HasLen, 1)
+}
+
 // Guards against starts on a leaving worker, and against a task that runs twice because its
 // start had no answer yet when the notice came.
 func TestUnansweredStartsOnALeavingWorker(t *testing.T) {
