--- a/bench/interleaving/interleaving_test.go
+++ b/bench/interleaving/interleaving_test.go
@@ -132,7 +132,7 @@
 		{"an unanswered start is stopped on the restarted worker", 50261, true, []faultKind{lossyWorker, restartWorker, callsCrossLives}},
 		{"an unanswered start is stopped on the restarted worker", 50268, true, []faultKind{lossyWorker, restartWorker, callsCrossLives}},
 		{"a run that begins after the first list of an agent is stopped", 60025, true, []faultKind{killAgent, lossyWorker, slowAnswers}},
-		{"a restarted agent lets the lease of its former life pass", 365, true, []faultKind{killAgent, freezeAgent, lossyWorker, slowAnswers}},
+		{"a restarted agent lets the lease of its previous process pass", 365, true, []faultKind{killAgent, freezeAgent, lossyWorker, slowAnswers}},
 		{"a start for an earlier revision of the worker is refused", 14, true, []faultKind{changeWorker, delays}},
 		{"a start for an earlier revision of the worker is refused", 12, true, []faultKind{changeWorker, slowEntry}},
 		{"no start is made until a worker that may have restarted unnoticed has answered", 70022, true, []faultKind{slowAgent, lossyWorker, slowAnswers, changeWorker}},
--- a/bench/interleaving/world_test.go
+++ b/bench/interleaving/world_test.go
@@ -113,7 +113,7 @@
 	// other properties of a seed don't depend on it.
 	labels *rand.Rand
 	// lateOnOtherLabels counts the starts on a worker without the required label by late
-	// calls to a former life, which nothing prevents (docs/platform.md, question 7).
+	// calls to a previous process, which nothing prevents (docs/platform.md, question 7).
 	lateOnOtherLabels int
 }
 
--- a/runner/doubt_test.go
+++ b/runner/doubt_test.go
@@ -11,8 +11,8 @@
 
 // Guards against a task that runs twice because a restarted agent says that an attempt isn't
 // running, at its next tick after the first list: it knows no lease yet, but the start of the
-// attempt may be carried out until that of the former life has ended.
-func TestLeaseOfAFormerLifeIsNotOverAtOnce(t *testing.T) {
+// attempt may be carried out until that of the previous process has ended.
+func TestLeaseOfAPreviousProcessIsNotOverAtOnce(t *testing.T) {
 	f := newReadyFixture(t)
 	f.s = New(f.now, f.s.opts)
 	f.s.EntryConnected(f.now, 1, link.Hello{Entry: "e1", Incarnation: 11})
--- a/runner/state.go
+++ b/runner/state.go
@@ -218,7 +218,7 @@
 		opts: o, startedAt: now, lastEventAt: now, conns: map[ConnID]*entryConn{}, runs: map[runKey]*run{}, recentEnds: map[runKey]recentEnd{}, unansweredStarts: map[runKey]unansweredStart{},
 		speed: newSpeedMeter(),
 	}
-	// A former life of the agent may just have extended the lease.
+	// A previous process of the agent may just have extended the lease.
 	s.extendLease(now, now+o.Lease)
 	return s
 }
