--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -139,6 +139,8 @@
 	f.evacuated(1, 5, true)
 	f.Assert(f.closedConns, qt.HasLen, 2)
 	f.s.EntryConnected(f.now, 3, link.Hello{Entry: "e2", Incarnation: 12})
+	// The worker may have restarted during the freeze: starts need a renewal sent after it.
+	f.now += 2 * ms
 	f.answerRenewal()
 	f.Assert(f.s.accepting(), qt.IsTrue)
 	f.Assert(f.acceptsStart(3, "a"), qt.IsFalse)
