Keep evacuated zones in the configuration

An operator who empties a zone needs a state that the next morning's sheet doesn't end. config.Config gets evacuated_zones, and the new sheet.Evacuate writes it by the same compare-and-set as a sheet. Apply carries the zones over from the version that it replaces, so neither a sheet nor the restoring of an old version changes them. Evacuate changes whatever version is in effect, so it can't be lost to a sheet that is applied at the same moment. Zone names are validated, the difference shows a change like one of drain, plan and apply warn of evacuated zones, and the history notes them. Entries of an earlier release ignore the field.

--- a/config/config.go
+++ b/config/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,9 @@
 	Services []Service `json:"services"`
 	Teams    []Team    `json:"teams"`
 	Workers  []Worker  `json:"workers"`
+	// EvacuatedZones lists the availability zones on whose workers no task is started.
+	// It is not part of the sheet; package sheet carries it over from version to version.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // Service is a kind of backend server with the request types it runs.
@@ -78,6 +82,9 @@
 	return &c, nil
 }
 
+// Evacuated reports whether no task is to be started on the workers of the zone.
+func (c *Config) Evacuated(zone string) bool { return slices.Contains(c.EvacuatedZones, zone) }
+
 // Service returns the service with the name.
 func (c *Config) Service(name string) (*Service, bool) {
 	for i := range c.Services {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -38,6 +38,8 @@
 			[]string{`worker 1: services "dispach": is not a service`, `worker 2: services "": at least one`}},
 		{"service twice", func(c *Config) { c.Workers[0].Services = []string{"dispatch", "dispatch"} },
 			[]string{`worker 1: services "dispatch": is given twice`}},
+		{"zones", func(c *Config) { c.EvacuatedZones = []string{"gondar", "Gondar", "gondar"} },
+			[]string{`zone 2: evacuated_zones "Gondar": allowed is`, `zone 3: evacuated_zones "gondar": is given twice`}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := valid()
@@ -98,6 +100,7 @@
 		{"worker removed and added", func(c *Config) { c.Workers[1].Name = "abay-03" },
 			[]string{"removed worker abay-02  services dispatch, drain no  true", "added worker abay-03   services dispatch, drain no false"}},
 		{"drain", func(c *Config) { c.Workers[0].Drain = true }, []string{"lowered worker abay-01 drain no yes true"}},
+		{"zones", func(c *Config) { c.EvacuatedZones = []string{"gondar"} }, []string{"lowered zone gondar evacuated no yes true"}},
 		{"type", func(c *Config) { c.Services[0].Types[1] = RequestType{"burn-off-booking", 1000, true} },
 			[]string{"changed service dispatch/burn-off-booking deadline_ms 2000 1000 false", "changed service dispatch/burn-off-booking idempotent no yes false"}},
 	} {
@@ -112,4 +115,7 @@
 		})
 	}
 	qt.Assert(t, Diff(nil, valid()), qt.HasLen, 6)
+	evacuated := valid()
+	evacuated.EvacuatedZones = []string{"gondar"}
+	qt.Assert(t, Diff(evacuated, valid()), qt.DeepEquals, []Change{{Effect: Changed, Kind: KindZone, Name: "gondar", Field: "evacuated", Old: "yes", New: "no"}})
 }
--- a/config/diff.go
+++ b/config/diff.go
@@ -60,12 +60,30 @@
 			}
 		}
 	}
+	changes = append(changes, evacuationChanges(old, new)...)
 	slices.SortFunc(changes, func(a, b Change) int {
 		return cmp.Or(cmp.Compare(kindOrder(a.Kind), kindOrder(b.Kind)), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field))
 	})
 	return changes
 }
 
+// evacuationChanges returns a change for each zone that is evacuated in only one of
+// the configurations. Zones are no items: a configuration lists only evacuated ones.
+func evacuationChanges(old, new *Config) []Change {
+	var changes []Change
+	for _, z := range old.EvacuatedZones {
+		if !new.Evacuated(z) {
+			changes = append(changes, Change{Effect: Changed, Kind: KindZone, Name: z, Field: "evacuated", Old: yesNo(true), New: yesNo(false)})
+		}
+	}
+	for _, z := range new.EvacuatedZones {
+		if !old.Evacuated(z) {
+			changes = append(changes, Change{Effect: Lowered, Kind: KindZone, Name: z, Field: "evacuated", Old: yesNo(false), New: yesNo(true)})
+		}
+	}
+	return changes
+}
+
 type itemKey struct {
 	kind Kind
 	name string
@@ -137,7 +155,9 @@
 	return slices.ContainsFunc(strings.Fields(old), func(word string) bool { return !slices.Contains(kept, word) })
 }
 
-func kindOrder(k Kind) int { return slices.Index([]Kind{KindService, KindTeam, KindWorker}, k) }
+func kindOrder(k Kind) int {
+	return slices.Index([]Kind{KindService, KindTeam, KindWorker, KindZone}, k)
+}
 
 func yesNo(b bool) string {
 	if b {
--- a/config/validate.go
+++ b/config/validate.go
@@ -27,7 +27,7 @@
 // NameRule describes the allowed names in messages.
 const NameRule = "1 to 63 of a-z, 0-9, dot, dash and underscore, beginning with a letter or digit"
 
-// ValidName reports whether s can name a service, type, team or worker.
+// ValidName reports whether s can name a service, type, team, worker or zone.
 func ValidName(s string) bool { return namePattern.MatchString(s) }
 
 // Kind is a section of the configuration.
@@ -38,11 +38,12 @@
 	KindService Kind = "service"
 	KindTeam    Kind = "team"
 	KindWorker  Kind = "worker"
+	KindZone    Kind = "zone"
 )
 
 // Fault is one error in a configuration.
 type Fault struct {
-	// Kind and Index identify the service, team or worker; Index is -1 when the
+	// Kind and Index identify the service, team, worker or zone; Index is -1 when the
 	// fault concerns the whole list. Type is the index of the request type or -1.
 	Kind  Kind
 	Index int
@@ -85,6 +86,7 @@
 	v.checkServices(c.Services)
 	v.checkTeams(c.Teams)
 	v.checkWorkers(c)
+	v.checkEvacuatedZones(c.EvacuatedZones)
 	return v.faults
 }
 
@@ -147,6 +149,13 @@
 	}
 }
 
+func (v *validator) checkEvacuatedZones(zones []string) {
+	seen := map[string]bool{}
+	for i, z := range zones {
+		v.checkName(Fault{Kind: KindZone, Index: i, Type: -1}, "evacuated_zones", z, seen)
+	}
+}
+
 func (v *validator) checkWorkers(c *Config) {
 	v.requireAny(KindWorker, len(c.Workers))
 	var known []string
--- a/sheet/apply.go
+++ b/sheet/apply.go
@@ -56,6 +56,9 @@
 // the error is a *ConflictError, unless that version has the same content. A
 // *table.UnknownOutcomeError means that the platform became unreachable before the
 // outcome could be read back; applying the same sheet again is safe.
+//
+// next.EvacuatedZones is ignored: the evacuations of the version that next replaces
+// stay, and only Evacuate changes them.
 func Apply(ctx context.Context, p table.Platform, next *config.Config, op string) (*Result, error) {
 	if op == "" {
 		return nil, errors.New("operation id is empty")
@@ -64,6 +67,12 @@
 		return nil, faults
 	}
 	a := &applyOperation{platform: p, next: *next, op: op, baseSet: next.Version > 0, base: next.Version, difference: Plan(next, next)}
+	return a.run(ctx)
+}
+
+// run writes the new version and adds it to the history.
+func (a *applyOperation) run(ctx context.Context) (*Result, error) {
+	p, op := a.platform, a.op
 	row, err := table.Update(ctx, p, table.RowConfig, op, func(old []byte) ([]byte, error) { return a.nextValue(ctx, old) })
 	var unknown *table.UnknownOutcomeError
 	if errors.As(err, &unknown) {
@@ -86,7 +95,7 @@
 	return result, nil
 }
 
-// applyOperation is the state of one call of Apply.
+// applyOperation is the state of one call of Apply or Evacuate.
 type applyOperation struct {
 	platform table.Platform
 	next     config.Config
@@ -95,6 +104,8 @@
 	base      uint64
 	baseSet   bool
 	unchanged bool
+	// evacuation is set by Evacuate; next is then derived from the version to replace.
+	evacuation *evacuation
 	// difference is that of the last call of nextValue. It lists no changes when
 	// the row already has this op, because table.Update then does not call
 	// nextValue.
@@ -112,6 +123,14 @@
 		}
 		current = c
 	}
+	a.next.EvacuatedZones = current.EvacuatedZones
+	if a.evacuation != nil {
+		next, err := a.evacuation.applyTo(current)
+		if err != nil {
+			return nil, err
+		}
+		a.next, a.base, a.baseSet = *next, current.Version, true
+	}
 	a.difference = Plan(current, &a.next)
 	if current.Version > 0 && len(a.difference.Changes) == 0 {
 		a.unchanged = true
--- a/sheet/cli/commands.go
+++ b/sheet/cli/commands.go
@@ -62,6 +62,8 @@
 	version := uint64(0)
 	if current != nil {
 		version = current.Version
+		// As when the sheet is applied: it doesn't change the evacuations.
+		next.EvacuatedZones = current.EvacuatedZones
 	}
 	d := sheet.Plan(current, next)
 	warnings, err := sheet.CheckWorkers(ctx, p, next)
@@ -214,11 +216,14 @@
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "VERSION\tAPPLIED\tOPERATOR\tNOTE")
 	for _, info := range versions {
-		note := ""
+		var notes []string
 		if info.Restores > 0 {
-			note = fmt.Sprintf("restores version %d", info.Restores)
+			notes = append(notes, fmt.Sprintf("restores version %d", info.Restores))
 		}
-		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", info.Version, info.At.Local().Format(time.DateTime), info.Operator, note)
+		if len(info.EvacuatedZones) > 0 {
+			notes = append(notes, "evacuated: "+strings.Join(info.EvacuatedZones, " "))
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", info.Version, info.At.Local().Format(time.DateTime), info.Operator, strings.Join(notes, ", "))
 	}
 	return w.Flush()
 }
--- a/sheet/history.go
+++ b/sheet/history.go
@@ -36,6 +36,8 @@
 	At       time.Time `json:"at"`
 	// Restores is the older version that this one restored, or 0.
 	Restores uint64 `json:"restores,omitempty"`
+	// EvacuatedZones are the zones that are evacuated in the version.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// Object is the name of the object that holds the configuration. It is empty
 	// for a version in effect whose history row has not been written.
 	Object string `json:"object"`
@@ -58,7 +60,7 @@
 		return err
 	}
 	info := VersionInfo{
-		Version: c.Version, Op: c.Op, Operator: c.Operator, At: c.At, Restores: c.Restores,
+		Version: c.Version, Op: c.Op, Operator: c.Operator, At: c.At, Restores: c.Restores, EvacuatedZones: c.EvacuatedZones,
 		Object: fmt.Sprintf("%s%012d/%s", table.PrefixConfigHistory, c.Version, c.Op),
 	}
 	content, err := config.Encode(c)
@@ -147,7 +149,7 @@
 		return nil, err
 	}
 	if c != nil && (len(versions) == 0 || versions[0].Version < c.Version) {
-		latest := VersionInfo{Version: c.Version, Op: c.Op, Operator: c.Operator, At: c.At, Restores: c.Restores}
+		latest := VersionInfo{Version: c.Version, Op: c.Op, Operator: c.Operator, At: c.At, Restores: c.Restores, EvacuatedZones: c.EvacuatedZones}
 		versions = slices.Insert(versions, 0, latest)
 	}
 	return versions, nil
--- a/sheet/plan.go
+++ b/sheet/plan.go
@@ -30,6 +30,9 @@
 			d.Warnings = append(d.Warnings, fmt.Sprintf("service %s has no worker that takes new tasks; its jobs will be refused", s.Name))
 		}
 	}
+	for _, z := range new.EvacuatedZones {
+		d.Warnings = append(d.Warnings, fmt.Sprintf("zone %s is evacuated; no task is started on its workers until `sesamelift evacuate -restore %s`", z, z))
+	}
 	return d
 }
 
