Return held tasks when a worker is drained by the configuration

An agent that was drained by the configuration refused new starts, but the starts in its hold queue still ran there when a slot became free, which an evacuation must not allow. It now returns them, as it does when its backend server leaves; they are placed elsewhere. This also changes `sesamelift drain`, whose page promises just that. Entries no longer count a refusal with the reason "leaving" as a failure of the worker, as several of them could eject it when it takes tasks again.

While it is drained, an agent reports its load to all entries at the end of each task, at most one message per running task and entry: no start or offer would tell the others that the last task has ended.

Tests of agent and entry pass with -race, with a new one of a drained agent with two running tasks and a held one.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -437,6 +437,31 @@
 	qt.Assert(t, next[*wire.Result](env.entry).Reason, qt.Equals, "no backend")
 }
 
+// Guards against a held task that starts after its worker was drained or its zone was
+// evacuated, against a running one that is interrupted, and against entries that don't
+// learn that the last task has ended.
+func TestDrainByConfigurationReturnsHeldTasks(t *testing.T) {
+	env := newTestEnv(t)
+	env.startAndAnnounce()
+	k := env.newKey()
+	for i := range uint16(3) {
+		env.entry.start(k, i, `"wait"`)
+	}
+	env.waitForExecutions(2)
+	env.entry.send(&wire.WorkerConfig{Version: 7, Drain: true})
+	m := next[*wire.Result](env.entry)
+	qt.Assert(t, []any{m.Task, m.Outcome, m.Ran, m.Reason}, qt.DeepEquals, []any{uint16(2), wire.OutcomeRefused, wire.RanNo, wire.ReasonLeaving})
+	qt.Assert(t, env.firstLoadOfConfig(7), qt.Equals, wire.Load{Slots: 2, Running: 2, Leaving: true, ConfigVersion: 7})
+	close(env.backend.release)
+	for range 2 {
+		qt.Assert(t, next[*wire.Result](env.entry).Outcome, qt.Equals, wire.OutcomeOK)
+	}
+	for next[*wire.LoadReport](env.entry).Load.Running > 0 {
+	}
+	tasks, _ := env.backend.executions()
+	qt.Assert(t, tasks, qt.Equals, 2)
+}
+
 // Guards against two processes that run tasks for the same worker. Entries would
 // send a Fence only to the registered one.
 func TestReplacedAgentTakesNoTasks(t *testing.T) {
--- a/agent/core.go
+++ b/agent/core.go
@@ -40,7 +40,7 @@
 // reasonStarting is only used for the latter. See refusalReason for the reasons of
 // the ledger.
 const (
-	reasonLeaving  = "leaving"
+	reasonLeaving  = wire.ReasonLeaving
 	reasonDeadline = "deadline"
 	reasonClosed   = "closed"
 	reasonStarting = "starting"
@@ -276,6 +276,10 @@
 	}
 	el.config = *m
 	el.log.WithFields(logrus.Fields{"version": m.Version, "drain": m.Drain}).Info("worker configuration changed")
+	if el.config.Drain {
+		// Held starts would run here after the drain or the evacuation has begun.
+		el.refuseHeld()
+	}
 	el.broadcastLoad()
 }
 
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -139,6 +139,11 @@
 	el.launchHeld()
 	el.deliverResult(t, result)
 	el.offerFreeSlot(t.start.Owner)
+	if el.config.Drain {
+		// No start or offer tells the other entries any more how many tasks still run
+		// here, which the operator waits for.
+		el.broadcastLoad()
+	}
 }
 
 func (el *eventLoop) launchHeld() {
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -190,7 +190,13 @@
 	switch m := m.(type) {
 	case *wire.Result:
 		ls.updateLoad(ag, m.Load, nil, now)
-		ls.removeInFlight(ag, taskID{m.Key, m.Task}, m.Outcome, m.RunTimeUS, now)
+		outcome := m.Outcome
+		if outcome == wire.OutcomeRefused && m.Reason == wire.ReasonLeaving {
+			// The worker has not failed. Counted as failures, refusals of a drain or an
+			// evacuation could eject it when it takes tasks again.
+			outcome = 0
+		}
+		ls.removeInFlight(ag, taskID{m.Key, m.Task}, outcome, m.RunTimeUS, now)
 		ls.trackFinished(m.Key, func() { ls.applyWithRetryBudget(ls.jobs.Result(a.id, m)) })
 	case *wire.Settled:
 		ls.handleSettled(ag, a, m, now)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -160,6 +160,11 @@
 	Body  []byte
 }
 
+// ReasonLeaving is the Reason of a Result if the agent refused the start because it
+// takes no new tasks: it shuts down, its worker is drained or in an evacuated zone, or
+// its backend server leaves.
+const ReasonLeaving = "leaving"
+
 // Result is the reply to Start. It is sent when the task has ended or if the agent
 // does not run it. A repeated Start of a task that is running or whose result was
 // dropped is answered with Settled.
@@ -252,7 +257,9 @@
 // WorkerConfig carries the part of the configuration that applies to an agent.
 type WorkerConfig struct {
 	Version uint64
-	Drain   bool
+	// Drain says that the worker gets no new tasks, because it is drained or its zone
+	// is evacuated.
+	Drain bool
 	// Services lists the services that the worker may serve. Empty means all that
 	// its backend server announced.
 	Services []string
