Place no tasks on workers of evacuated zones

Entries treat the workers of a zone in evacuated_zones as they treat drained ones: placement excludes them by the predicate of the configuration, which now also gets the zone and so covers workers that no sheet lists and those that connect later, and each agent gets the drain flag, by which it refuses starts itself. The message between entry and agent stays the same, so programs of one version of the protocol can be mixed. Admission counts no slots there, disconnected ones included; a job of a service whose workers are all in evacuated zones is refused at once with "not run", 503 and Retry-After, since the service comes back.

Status and the status page list the evacuated zones with their workers and the tasks that still run there; the list of workers names the state.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -274,9 +274,9 @@
 	if ag.sentConfigVersion >= ls.config.Version {
 		return
 	}
-	m := &wire.WorkerConfig{Version: ls.config.Version}
+	m := &wire.WorkerConfig{Version: ls.config.Version, Drain: ls.config.Evacuated(ag.zone)}
 	if w, ok := ls.config.Worker(ag.worker); ok {
-		m.Drain, m.Services = w.Drain, w.Services
+		m.Drain, m.Services = m.Drain || w.Drain, w.Services
 	}
 	if ag.conn.Send(m) == nil {
 		ag.sentConfigVersion = ls.config.Version
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/standin"
 	"github.com/sesamelift/sesamelift/table"
@@ -467,28 +468,45 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-// Guards against a configuration change that does not reach entries and agents,
-// or is replaced by an older version.
+// Guards against a configuration change that does not reach entries and agents, or is
+// replaced by an older version, against a start at a drained worker or in an evacuated
+// zone, also if the agent doesn't refuse it, and against a job that waits there.
 func TestConfigurationReachesAgents(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t)
-	n := c.start("e1")
-	a := c.newAgent("w1", 11, echoResult)
-	a.connect(n, "")
-	row, err := c.platform.Get(context.Background(), table.RowConfig)
-	qt.Assert(t, err, qt.IsNil)
-	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, withW1Drained(t, row.Value))
-	qt.Assert(t, err, qt.IsNil)
-	eventually(t, "the agent has version 2", func() bool {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		return a.config.Version == 2 && a.config.Drain
-	})
-	w := n.Workers(context.Background())
-	qt.Assert(t, w, qt.HasLen, 1)
-	qt.Assert(t, w[0].Drained, qt.IsTrue)
-	code, ans := n.submit(newKey(t), job(1))
-	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanNo})
+	for _, tc := range []struct {
+		name               string
+		change             func(c *config.Config)
+		drained, evacuated bool
+		code               int
+		reason             api.Reason
+	}{
+		{"drain", drainW1, true, false, 422, api.ReasonNoWorker},
+		{"evacuation", func(c *config.Config) { c.EvacuatedZones = []string{"salalah-kiln"} }, false, true, 503, api.ReasonOverload},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			n := c.start("e1")
+			a := c.newAgent("w1", 11, echoResult)
+			a.connect(n, "")
+			row, err := c.platform.Get(context.Background(), table.RowConfig)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, withNextVersion(t, row.Value, tc.change))
+			qt.Assert(t, err, qt.IsNil)
+			eventually(t, "the agent has version 2", func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return a.config.Version == 2 && a.config.Drain
+			})
+			w := n.Workers(context.Background())
+			qt.Assert(t, w, qt.HasLen, 1)
+			qt.Assert(t, []bool{w[0].Drained, w[0].Evacuated}, qt.DeepEquals, []bool{tc.drained, tc.evacuated})
+			began := time.Now()
+			code, ans := n.submit(newKey(t), job(1))
+			qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{tc.code, tc.reason, api.RanNo})
+			qt.Assert(t, time.Since(began) < maxBlockedWait, qt.IsTrue)
+		})
+	}
 }
 
 // Guards against an entry that keeps an old configuration because it can reach
@@ -499,7 +517,7 @@
 	e2.platform.unavailable.Store(true)
 	row, err := c.platform.Get(context.Background(), table.RowConfig)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, withW1Drained(t, row.Value))
+	_, err = c.platform.CompareAndSet(context.Background(), table.RowConfig, row.Version, withNextVersion(t, row.Value, drainW1))
 	qt.Assert(t, err, qt.IsNil)
 	for _, n := range []*node{e1, e2} {
 		eventually(t, "version 2 is in effect", func() bool { return n.Status(context.Background()).ConfigVersion == 2 })
--- a/entry/configwatch.go
+++ b/entry/configwatch.go
@@ -63,6 +63,9 @@
 	if cfg.Version <= ls.config.Version {
 		return
 	}
+	if !slices.Equal(cfg.EvacuatedZones, ls.config.EvacuatedZones) {
+		ls.e.log.WithField("zones", cfg.EvacuatedZones).WithField("config_version", cfg.Version).Info("the evacuated zones have changed")
+	}
 	ls.config = cfg
 	ls.requestTypes = map[string]map[string]config.RequestType{}
 	for _, s := range cfg.Services {
@@ -75,7 +78,10 @@
 	for _, w := range cfg.Workers {
 		workers[w.Name] = w
 	}
-	ls.placement.SetAllowedWorkers(func(worker, service string) bool {
+	ls.placement.SetAllowedWorkers(func(worker, zone, service string) bool {
+		if cfg.Evacuated(zone) {
+			return false
+		}
 		w, listed := workers[worker]
 		return !listed || !w.Drain && (len(w.Services) == 0 || slices.Contains(w.Services, service))
 	})
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -404,12 +404,14 @@
 	return len(a.runs), maxRuns
 }
 
-// withW1Drained returns the configuration with the next version and with w1 drained.
-func withW1Drained(t *testing.T, value []byte) []byte {
+func drainW1(c *config.Config) { c.Workers[0].Drain = true }
+
+// withNextVersion returns the changed configuration with the next version.
+func withNextVersion(t *testing.T, value []byte, change func(*config.Config)) []byte {
 	c, err := config.Decode(value)
 	qt.Assert(t, err, qt.IsNil)
 	c.Version++
-	c.Workers[0].Drain = true
+	change(c)
 	b, err := config.Encode(c)
 	qt.Assert(t, err, qt.IsNil)
 	return b
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -52,7 +52,7 @@
 // has not named a service yet.
 func (ls *loopState) anyAgentStarting(now time.Time) bool {
 	for _, ag := range ls.agents {
-		if ag.conn != nil && len(ag.services) == 0 && now.Sub(ag.connectedAt) < serviceReportTimeout {
+		if ag.conn != nil && len(ag.services) == 0 && !ls.config.Evacuated(ag.zone) && now.Sub(ag.connectedAt) < serviceReportTimeout {
 			return true
 		}
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -70,6 +70,7 @@
 	slices.SortFunc(s.Queued, func(a, b ingress.QueuedTasks) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Team, b.Team))
 	})
+	s.EvacuatedZones = ls.evacuatedZones()
 	s.Advice = ls.workerAdvice()
 	for _, f := range ls.resolver.Pending().Fences {
 		s.Unresolved = append(s.Unresolved, ingress.UnresolvedFence{Incarnation: f.Incarnation, Workers: f.Workers})
@@ -77,6 +78,23 @@
 	return s
 }
 
+// evacuatedZones returns the evacuated zones with the tasks that still run there, by
+// the last report of each agent.
+func (ls *loopState) evacuatedZones() []ingress.EvacuatedZone {
+	var out []ingress.EvacuatedZone
+	for _, name := range ls.config.EvacuatedZones {
+		z := ingress.EvacuatedZone{Zone: name}
+		for _, ag := range ls.agents {
+			if ag.conn != nil && ag.zone == name {
+				z.Workers++
+				z.Running += int(ag.load.Running)
+			}
+		}
+		out = append(out, z)
+	}
+	return out
+}
+
 // maxWorkerAdvice bounds the number of workers listed, since all workers of an
 // availability zone may fail at once.
 const maxWorkerAdvice = 20
@@ -85,6 +103,9 @@
 // what to check.
 func (ls *loopState) workerAdvice() []string {
 	var out []string
+	if ls.everyWorkerEvacuated() {
+		out = append(out, "every connected worker is in an evacuated zone, so all jobs are refused: restore a zone with `sesamelift evacuate -restore ZONE`")
+	}
 	for _, w := range ls.config.Workers {
 		if _, connected := ls.agentByWorker[w.Name]; !connected && !w.Drain {
 			out = append(out, fmt.Sprintf("worker %s of the configuration is not connected: check its host and sesamelift-agent there, or drain it in the sheet", w.Name))
@@ -101,6 +122,15 @@
 	return out
 }
 
+func (ls *loopState) everyWorkerEvacuated() bool {
+	for _, id := range ls.agentByWorker {
+		if ag := ls.agents[id]; ag != nil && !ls.config.Evacuated(ag.zone) {
+			return false
+		}
+	}
+	return len(ls.agentByWorker) > 0
+}
+
 // Workers implements ingress.Service.
 func (e *Entry) Workers(ctx context.Context) []ingress.Worker {
 	w, _ := postAndWait(ctx, e, func(ls *loopState) []ingress.Worker { return ls.workerList() })
@@ -118,6 +148,7 @@
 			Worker: ag.worker, Zone: ag.zone, Incarnation: ag.id, Services: ag.services,
 			Slots: int(ag.load.Slots), Running: int(ag.load.Running), Held: int(ag.load.Held),
 			Ejected: st.Ejected, Leaving: ag.load.Leaving, ConfigVersion: ag.load.ConfigVersion,
+			Evacuated: ls.config.Evacuated(ag.zone),
 		}
 		if st.Ejected {
 			w.EjectionReason = st.EjectionReason
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -21,6 +21,10 @@
 // tasks with bodies of 12 kB fits.
 const maxRunningBytes = 256 << 20
 
+// evacuatedRetryAfter is the Retry-After hint while the workers of a service are in
+// evacuated zones. Evacuations last minutes; it is the longest hint of admission.
+const evacuatedRetryAfter = 10 * time.Second
+
 // activeJob holds what the entry keeps of a job in progress besides its record
 // in the job table.
 type activeJob struct {
@@ -107,7 +111,24 @@
 		return v, class
 	}
 	q := admission.Request{Service: s.Service, Team: s.Team, Tasks: len(s.Tasks), TimeLeft: left}
-	return ls.admission.Admit(now, q, ls.supply(s.Service)), class
+	v := ls.admission.Admit(now, q, ls.supply(s.Service))
+	if v != nil && v.Reason == api.ReasonNoWorker && ls.hasEvacuatedWorker(s.Service) {
+		// Unlike a service without workers, it is served again after the evacuation.
+		v = api.Refuse(api.ReasonOverload, fmt.Sprintf("the workers that serve %q are in evacuated zones", s.Service))
+		v.RetryAfter = evacuatedRetryAfter
+	}
+	return v, class
+}
+
+// hasEvacuatedWorker reports whether a worker that serves the service is in an
+// evacuated zone.
+func (ls *loopState) hasEvacuatedWorker(service string) bool {
+	for _, ag := range ls.agents {
+		if ls.config.Evacuated(ag.zone) && slices.Contains(ag.services, service) {
+			return true
+		}
+	}
+	return false
 }
 
 // supply returns the slots of a service and the demand for them.
@@ -126,7 +147,7 @@
 func (ls *loopState) disconnectedSlots(service string) int {
 	n := 0
 	for _, ag := range ls.agents {
-		if ag.conn == nil && !ag.load.Leaving && slices.Contains(ag.services, service) {
+		if ag.conn == nil && !ag.load.Leaving && !ls.config.Evacuated(ag.zone) && slices.Contains(ag.services, service) {
 			n += int(ag.load.Slots)
 		}
 	}
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -45,6 +45,8 @@
 	Jobs                int           `json:"jobs"`
 	QueuedTasks         int           `json:"queued_tasks"`
 	Queued              []QueuedTasks `json:"queued"`
+	// EvacuatedZones lists the zones on whose workers no task is started.
+	EvacuatedZones []EvacuatedZone `json:"evacuated_zones,omitempty"`
 	// Unresolved lists former entries whose keys are blocked until all agents have
 	// answered, with the workers that have not.
 	Unresolved []UnresolvedFence `json:"unresolved,omitempty"`
@@ -59,6 +61,14 @@
 	Tasks   int    `json:"tasks"`
 }
 
+// EvacuatedZone is an evacuated zone with its connected workers and the tasks that
+// still run on them.
+type EvacuatedZone struct {
+	Zone    string `json:"zone"`
+	Workers int    `json:"workers"`
+	Running int    `json:"running"`
+}
+
 // UnresolvedFence is an entry incarnation that has left the roster, with the workers
 // whose agents have not yet reported which tasks it started.
 type UnresolvedFence struct {
@@ -79,6 +89,7 @@
 	EjectionReason string   `json:"why,omitempty"`
 	Leaving        bool     `json:"leaving"`
 	Drained        bool     `json:"drained"`
+	Evacuated      bool     `json:"evacuated"`
 	ConfigVersion  uint64   `json:"config_version"`
 }
 
--- a/ingress/statustext.go
+++ b/ingress/statustext.go
@@ -45,6 +45,9 @@
 	for _, q := range st.Queued {
 		fmt.Fprintf(b, "  %-20s %-20s %d\n", q.Service, q.Team, q.Tasks)
 	}
+	for _, z := range st.EvacuatedZones {
+		fmt.Fprintf(b, "evacuated        %s (%d workers, %d tasks still run there)\n", z.Zone, z.Workers, z.Running)
+	}
 	b.WriteString("\nWhat to do\n")
 	for _, w := range st.Advice {
 		fmt.Fprintf(b, "  - %s\n", w)
@@ -58,6 +61,8 @@
 		switch {
 		case w.Ejected:
 			state = "ejected: " + w.EjectionReason
+		case w.Evacuated:
+			state = "zone evacuated"
 		case w.Leaving:
 			state = "leaving"
 		case w.Drained:
--- a/placement/agent.go
+++ b/placement/agent.go
@@ -203,7 +203,7 @@
 			continue
 		}
 		v := s.serviceFor(name)
-		g.memberships = append(g.memberships, membership{service: v, allowed: s.allows(g.worker, name)})
+		g.memberships = append(g.memberships, membership{service: v, allowed: s.allows(g, name)})
 		for c := range v.rankings {
 			v.rankings[c].add(g, len(g.memberships)-1)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -116,7 +116,7 @@
 	agentList    []*agent
 	refreshIndex int
 	services     map[string]*service
-	allowed      func(worker, service string) bool
+	allowed      func(worker, zone, service string) bool
 	types        requestTypes
 	// now is the time of the last event or decision, for methods without a time
 	// argument.
@@ -205,13 +205,13 @@
 }
 
 // SetAllowedWorkers sets which workers the configuration allows to serve which
-// services. A nil function allows all.
-func (s *State) SetAllowedWorkers(allowed func(worker, service string) bool) {
+// services, by the worker and its availability zone. A nil function allows all.
+func (s *State) SetAllowedWorkers(allowed func(worker, zone, service string) bool) {
 	s.allowed = allowed
 	for _, g := range s.agentList {
 		for i := range g.memberships {
 			m := &g.memberships[i]
-			m.allowed = s.allows(g.worker, m.service.name)
+			m.allowed = s.allows(g, m.service.name)
 		}
 		s.updateRank(g)
 	}
@@ -352,6 +352,6 @@
 	s.agentList, s.refreshIndex = kept, 0
 }
 
-func (s *State) allows(worker, service string) bool {
-	return s.allowed == nil || s.allowed(worker, service)
+func (s *State) allows(g *agent, service string) bool {
+	return s.allowed == nil || s.allowed(g.worker, g.zone, service)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -56,8 +56,17 @@
 		{"all slots", func(*State) {}, 8, 32, "s"},
 		{"leaving", func(s *State) { s.UpdateLoad(1, wire.Load{Slots: 8, Leaving: true}, nil, t0) }, 0, 24, "s"},
 		{"drained or not allowed", func(s *State) {
-			s.SetAllowedWorkers(func(w, _ string) bool { return w != "w1" })
+			s.SetAllowedWorkers(func(w, _, _ string) bool { return w != "w1" })
 		}, 0, 24, "s"},
+		{"zone evacuated", func(s *State) {
+			// Agents 1 and 4 are in the zone. Agent 5 connects afterwards.
+			s.SetAllowedWorkers(func(_, zone, _ string) bool { return zone != zones[0] })
+			s.AgentConnected(Agent{ID: 5, Worker: "w5", Zone: zones[0], Services: []string{"s"}, Load: wire.Load{Slots: 8}}, t0)
+		}, 0, 16, "s"},
+		{"zone restored", func(s *State) {
+			s.SetAllowedWorkers(func(_, zone, _ string) bool { return zone != zones[0] })
+			s.SetAllowedWorkers(func(_, _, _ string) bool { return true })
+		}, 8, 32, "s"},
 		{"disconnected", func(s *State) { s.AgentDisconnected(1) }, 0, 24, "s"},
 		{"service changed", func(s *State) { s.UpdateLoad(1, wire.Load{Slots: 8}, []string{"other"}, t0) }, 0, 24, "s"},
 		{"used by another entry", func(s *State) { s.UpdateLoad(1, wire.Load{Slots: 8, Running: 5, Held: 1}, nil, t0) }, 2, 26, "s"},
