--- a/faulttest/harness_test.go
+++ b/faulttest/harness_test.go
@@ -274,11 +274,14 @@
 }
 
 // addAgent starts an agent and its backend server.
-func (c *cluster) addAgent() *process {
+func (c *cluster) addAgent() *process { return c.addAgentIn("z1") }
+
+// addAgentIn starts an agent and its backend server in a zone.
+func (c *cluster) addAgentIn(zone string) *process {
 	name := fmt.Sprintf("w%d", len(c.agents)+1)
 	p := &process{t: c.t, name: name, program: "sesamelift-agent", dir: c.dir, announceAddr: freeAddress(c.t)}
 	p.settings = map[string]any{
-		"name": name, "zone": "z1", "announce_address": p.announceAddr, "platform_address": c.platform.Addr(), "tls": c.tlsSettings("agent"),
+		"name": name, "zone": zone, "announce_address": p.announceAddr, "platform_address": c.platform.Addr(), "tls": c.tlsSettings("agent"),
 		"slots": slots, "health_interval_ms": 200,
 	}
 	p.start()
