--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -13,6 +13,7 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/ownership"
+	"github.com/sesamelift/sesamelift/placement"
 	"github.com/sesamelift/sesamelift/standin"
 	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/wire"
@@ -509,6 +510,26 @@
 	}
 }
 
+// Guards against a worker that counts as failing, and is ejected when its zone is
+// restored, because it refused the starts that were under way or held when the zone was
+// evacuated.
+func TestRefusalOfLeavingWorkerIsNoFailure(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	refusals := 0
+	c.newAgent("w1", 11, func(s *wire.Start) *wire.Result {
+		if refusals++; refusals <= 6 {
+			return &wire.Result{Outcome: wire.OutcomeRefused, Ran: wire.RanNo, Reason: wire.ReasonLeaving}
+		}
+		return echoResult(s)
+	}).connect(n, "")
+	code, ans := n.submit(newKey(t), job(1))
+	qt.Assert(t, []any{code, ans.Verdict}, qt.DeepEquals, []any{200, api.Complete})
+	agents, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) []placement.AgentStatus { return ls.placement.Agents(ls.now()) })
+	qt.Assert(t, []any{agents[0].FailureRate, agents[0].Ejected}, qt.DeepEquals, []any{0.0, false})
+}
+
 // Guards against an entry that keeps an old configuration because it can reach
 // its peers but not the platform.
 func TestConfigurationFromPeer(t *testing.T) {
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -321,7 +321,7 @@
 	}
 	var r *wire.Result
 	if a.run != nil {
-		if r = a.run(s); r != nil && r.Outcome == wire.OutcomeBusy {
+		if r = a.run(s); r != nil && (r.Outcome == wire.OutcomeBusy || r.Outcome == wire.OutcomeRefused) {
 			a.send(conn, s, r)
 			return
 		}
