Add the command evacuate

`sesamelift evacuate ZONE` and `sesamelift evacuate -restore ZONE` write the configuration version in which the zone is evacuated or restored. A zone in which no agent is registered is evacuated all the same, as its agents may come later, but the command warns and names the zone that may be meant: a misspelled name has no effect. status shows the evacuated zones with the tasks that still run there, workers the state of each worker.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -103,7 +103,7 @@
 	}
 	root.Subcommands = []*ffcli.Command{
 		submitCommand(std), keyCommand(std), jobCommand(std, "status"), jobCommand(std, "cancel"), workersCommand(std),
-		drainCommand(std), demoCommand(std), certsCommand(std), settingsCommand(std), versionCommand(std),
+		drainCommand(std), evacuateCommand(std), demoCommand(std), certsCommand(std), settingsCommand(std), versionCommand(std),
 	}
 	for _, external := range externalCommands() {
 		root.Subcommands = append(root.Subcommands, external.command(std))
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -16,8 +17,10 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/client"
 	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/sheet"
 	"github.com/sesamelift/sesamelift/standin"
+	"github.com/sesamelift/sesamelift/table"
 )
 
 func runCommand(t *testing.T, args ...string) (code int, out, errOut string) {
@@ -59,6 +62,8 @@
 		{"bad key", []string{"submit", "-key", "x", writeFile(t, validJob)}, ExitUsage, "not a UUID"},
 		{"cancel without key", []string{"cancel"}, ExitUsage, "cancel takes one key"},
 		{"drain without worker", []string{"drain"}, ExitUsage, "drain takes one worker"},
+		{"evacuate without zone", []string{"evacuate"}, ExitUsage, "evacuate takes one zone"},
+		{"evacuate with a bad name", []string{"evacuate", "Taqah Shed"}, ExitUsage, "with a name of 1 to 63 of"},
 		{"settings", []string{"settings", "check", "entry", writeFile(t, `{"name":"A"}`)}, ExitUsage, "is not a name"},
 		{"settings as JSON", []string{"settings", "-json", "check", "agent", writeFile(t, `{"name":"A"}`)}, ExitUsage, `"field": "name"`},
 		{"version as JSON", []string{"version", "-json"}, ExitOK, `"version"`},
@@ -128,29 +133,37 @@
 	qt.Assert(t, out, qt.Contains, "complete")
 }
 
-// Guards against a crash of drain before the first sheet was applied, and against a
-// version that is recorded under the name of another operator, or as one that restores
-// an earlier version.
-func TestDrain(t *testing.T) {
-	ctx := context.Background()
+func startPlatform(t *testing.T) *standin.Platform {
 	p, err := standin.NewPlatform(standin.PlatformOptions{Address: "127.0.0.1:0"})
 	qt.Assert(t, err, qt.IsNil)
-	runCtx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- p.Run(runCtx) }()
-	defer func() { stop(); qt.Check(t, <-ended, qt.IsNil) }()
-	drain := []string{"drain", "-platform", p.Addr(), "-operator", "joseph", "w1"}
-	code, _, errOut := runCommand(t, drain...)
-	qt.Assert(t, code, qt.Equals, ExitFailed)
-	qt.Assert(t, errOut, qt.Contains, "no configuration is in effect")
+	go func() { ended <- p.Run(ctx) }()
+	t.Cleanup(func() { stop(); qt.Check(t, <-ended, qt.IsNil) })
+	return p
+}
 
-	first := &config.Config{
+func firstConfig() *config.Config {
+	return &config.Config{
 		Operator: "amina",
 		Services: []config.Service{{Name: "dispatch", Types: []config.RequestType{{Name: "quote", DeadlineMS: 500}}}},
 		Teams:    []config.Team{{Name: "taxis", Quota: 10, Weight: 1}},
 		Workers:  []config.Worker{{Name: "w1", Services: []string{"dispatch"}}},
 	}
-	_, err = sheet.Apply(ctx, p, first, "op-1")
+}
+
+// Guards against a crash of drain before the first sheet was applied, and against a
+// version that is recorded under the name of another operator, or as one that restores
+// an earlier version.
+func TestDrain(t *testing.T) {
+	ctx, p := context.Background(), startPlatform(t)
+	drain := []string{"drain", "-platform", p.Addr(), "-operator", "joseph", "w1"}
+	code, _, errOut := runCommand(t, drain...)
+	qt.Assert(t, code, qt.Equals, ExitFailed)
+	qt.Assert(t, errOut, qt.Contains, "no configuration is in effect")
+
+	first := firstConfig()
+	_, err := sheet.Apply(ctx, p, first, "op-1")
 	qt.Assert(t, err, qt.IsNil)
 	second := *first
 	second.Version, second.Teams = 1, []config.Team{{Name: "taxis", Quota: 20, Weight: 1}}
@@ -165,3 +178,43 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, []any{c.Operator, c.Restores, c.Workers[0].Drain}, qt.DeepEquals, []any{"joseph", uint64(0), true})
 }
+
+// Guards against an evacuation of a misspelled zone that the operator takes for a real
+// one, against outputs that differ from the operators' page, and against a drain, a plan
+// or a sheet that ends an evacuation.
+func TestEvacuate(t *testing.T) {
+	ctx, p := context.Background(), startPlatform(t)
+	row, err := json.Marshal(ownership.Registration{Worker: "w1", Incarnation: 7, Zone: "gondar"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.CompareAndSet(ctx, table.PrefixAgents+"w1", 0, row)
+	qt.Assert(t, err, qt.IsNil)
+	sheetFile := filepath.Join(t.TempDir(), "sheet.csv")
+	qt.Assert(t, os.WriteFile(sheetFile, sheet.Format(firstConfig()), 0o600), qt.IsNil)
+	for _, step := range []struct {
+		args        []string
+		code        int
+		out, errOut string
+	}{
+		{[]string{"evacuate", "gondar"}, ExitFailed, "", "no configuration is in effect"},
+		{[]string{"sheet", "apply", sheetFile}, ExitOK, "version 1 is accepted", ""},
+		{[]string{"evacuate", "gonder"}, ExitOK, "zone gonder: evacuated in configuration version 2\n", "no agent is registered in zone gonder (did you mean gondar?)"},
+		{[]string{"evacuate", "-restore", "gonder"}, ExitOK, "zone gonder: not evacuated in configuration version 3\n", ""},
+		{[]string{"evacuate", "gondar"}, ExitOK, "zone gondar: evacuated in configuration version 4\n", ""},
+		{[]string{"evacuate", "gondar"}, ExitOK, "zone gondar is evacuated already, in configuration version 4; nothing was changed\n", ""},
+		{[]string{"drain", "w1"}, ExitOK, "worker w1: drain true in configuration version 5", ""},
+		{[]string{"sheet", "plan", sheetFile}, ExitOK, "worker w1: drain yes -> no\nwarning: zone gondar is evacuated; no task is started on its workers until `sesamelift evacuate -restore gondar`\n1 change\n", ""},
+		{[]string{"sheet", "apply", sheetFile}, ExitOK, "warning: zone gondar is evacuated", ""},
+		{[]string{"sheet", "history"}, ExitOK, "evacuated: gondar", ""},
+		{[]string{"evacuate", "-json", "-restore", "gondar"}, ExitOK, `"version": 7`, ""},
+	} {
+		n := 1 // the flags of "sheet" stand after its subcommand
+		if step.args[0] == "sheet" {
+			n = 2
+		}
+		args := slices.Insert(slices.Clone(step.args), n, "-platform", p.Addr())
+		code, out, errOut := runCommand(t, args...)
+		qt.Assert(t, code, qt.Equals, step.code, qt.Commentf("%v: %s", step.args, errOut))
+		qt.Check(t, out, qt.Contains, step.out, qt.Commentf("%v", step.args))
+		qt.Check(t, errOut, qt.Contains, step.errOut, qt.Commentf("%v", step.args))
+	}
+}
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -42,6 +42,9 @@
 	for _, q := range s.Queued {
 		fmt.Fprintf(std.out, "  waiting: %d tasks of team %s for %s\n", q.Tasks, q.Team, q.Service)
 	}
+	for _, z := range s.EvacuatedZones {
+		fmt.Fprintf(std.out, "zone %s is evacuated: %d workers, %d tasks still run there\n", z.Zone, z.Workers, z.Running)
+	}
 	for _, advice := range s.Advice {
 		fmt.Fprintf(std.out, "what to do: %s\n", advice)
 	}
@@ -95,6 +98,8 @@
 		return "ejected: " + w.EjectionReason
 	case w.Drained:
 		return "drained"
+	case w.Evacuated:
+		return "zone evacuated"
 	case w.Leaving:
 		return "leaving"
 	}
@@ -153,6 +158,50 @@
 		})
 }
 
+func evacuateCommand(std *streams) *ffcli.Command {
+	fs := flag.NewFlagSet("evacuate", flag.ContinueOnError)
+	operator := fs.String("operator", sheetcli.DefaultOperator(), "name recorded in the history and shown to other operators")
+	addr := fs.String("platform", defaultPlatform, "address of the platform")
+	restore := fs.Bool("restore", false, "start tasks in the zone again")
+	asJSON := fs.Bool("json", false, "print JSON")
+	return newCommand("evacuate", "evacuate [flags] ZONE", "start no more tasks on the workers of a zone",
+		"Writes a new version of the configuration in which the zone is evacuated. Tasks that run there\n"+
+			"go on. The zone stays evacuated, whatever sheet is applied, until the command is given with\n"+
+			"-restore. `sesamelift status` shows how many tasks still run there.\n\n"+
+			"Example:\n  sesamelift evacuate -platform 127.0.0.1:17300 taqah-shed\n  sesamelift evacuate -platform 127.0.0.1:17300 -restore taqah-shed",
+		fs, func(ctx context.Context, args []string) error {
+			if len(args) != 1 || !config.ValidName(args[0]) {
+				return usageError{errors.New("evacuate takes one zone, with a name of " + config.NameRule)}
+			}
+			return evacuateZone(ctx, std, platform.NewStore(*addr), args[0], *operator, *restore, *asJSON)
+		})
+}
+
+func evacuateZone(ctx context.Context, std *streams, p table.Platform, zone, operator string, restore, asJSON bool) error {
+	r, err := sheet.Evacuate(ctx, p, zone, restore, operator, uuid.NewString())
+	if err != nil {
+		return err
+	}
+	// The change has been made, so a failed read of the agents is not reported as a
+	// failure of the command.
+	if warning, err := sheet.CheckZone(ctx, p, zone); err == nil && warning != "" {
+		fmt.Fprintf(std.errOut, "warning: %s\n", warning)
+	}
+	if asJSON {
+		return std.printJSON(r)
+	}
+	state := "evacuated"
+	if restore {
+		state = "not evacuated"
+	}
+	if r.Unchanged {
+		_, err = fmt.Fprintf(std.out, "zone %s is %s already, in configuration version %d; nothing was changed\n", zone, state, r.Version)
+		return err
+	}
+	_, err = fmt.Fprintf(std.out, "zone %s: %s in configuration version %d\n", zone, state, r.Version)
+	return err
+}
+
 func drainWorker(ctx context.Context, std *streams, p table.Platform, name, operator string, drain, asJSON bool) error {
 	current, err := sheet.Current(ctx, p)
 	if err != nil {
