--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -55,7 +55,7 @@
 
 func (a *agent) performActions() {
 	out := a.state.TakeActions(a.now)
-	a.born = a.state.WorkerBorn()
+	a.born = a.state.StartableBorn()
 	a.starts = append(a.starts, out.Starts...)
 	a.stops = append(a.stops, out.Stops...)
 	a.nextCalls()
@@ -85,7 +85,7 @@
 		c := a.starts[0]
 		a.starts = a.starts[1:]
 		a.startsRunning++
-		a.run(0, func() { a.startWithRetries(c, 0, runner.StartNotSent) })
+		a.run(0, func() { a.startWithRetries(c, 0, runner.StartNotCalled) })
 	}
 	for a.stopsRunning < callConcurrency/2 && len(a.stops) > 0 {
 		c := a.stops[0]
@@ -102,7 +102,7 @@
 		a.w.note(c.Task.Job, a.name, "start call %v attempt %d: result %d after %d tries", c.Task, c.Attempt, r, n+1)
 		a.post(func(now time.Duration) { a.state.StartDone(now, c, r, clock) })
 	}
-	if n >= maxCallAttempts || a.born != c.WorkerBorn || a.now >= c.ExpiresAt {
+	if n == 0 && a.now-c.CreatedAt >= runner.MaxEventGap || n >= maxCallAttempts || a.born != c.WorkerBorn || a.now >= c.ExpiresAt {
 		finish(result, 0)
 		return
 	}
@@ -125,11 +125,17 @@
 			return
 		case answer == runner.StartUnanswered:
 			result, c.Unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotSent:
+		case result == runner.StartNotCalled:
 			finish(answer, clock)
 			return
 		}
-		a.run(minCallInterval-(a.now-calledAt), func() { a.startWithRetries(c, n+1, result) })
+		a.run(minCallInterval-(a.now-calledAt), func() {
+			if a.now-calledAt >= runner.MaxEventGap {
+				finish(result, 0)
+				return
+			}
+			a.startWithRetries(c, n+1, result)
+		})
 	})
 }
 
@@ -184,8 +190,12 @@
 // call makes one call to the worker. exec carries it out there; it may do so without an
 // answer, or late. done gets the outcome once.
 func (a *agent) call(timeout time.Duration, exec func(k *worker, reply, broken func()), done func(o outcome)) {
-	finished := false
+	finished, epoch := false, a.epoch
 	deliver := func(o outcome) {
+		if a.epoch != epoch {
+			// The process that made the call has ended.
+			return
+		}
 		a.run(0, func() {
 			if !finished {
 				finished = true
--- a/bench/interleaving/world_test.go
+++ b/bench/interleaving/world_test.go
@@ -55,6 +55,7 @@
 type job struct {
 	id       string
 	work     []time.Duration
+	label    string
 	deadline time.Duration
 	sends    int
 	lastTo   *entry
@@ -64,7 +65,7 @@
 	return dispatch.Job{
 		ID: j.id, Queue: "q", Service: "s", Spec: "x", ReceivedAt: receivedAt, Deadline: receivedAt + j.deadline, MaxAttempts: 3,
 		LatencyFactor: 4, LatencyAllowance: 500 * ms, Priority: 1,
-		Steps: []dispatch.Step{{Tasks: len(j.work), Need: link.Resources{MilliCPU: taskNeed}, Estimate: 300 * ms}},
+		Steps: []dispatch.Step{{Tasks: len(j.work), Need: link.Resources{MilliCPU: taskNeed}, Estimate: 300 * ms, RequiredLabel: j.label}},
 	}
 }
 
@@ -114,6 +115,12 @@
 	// evacuations is the version of evacuatedSince, which is 0 while no zone is evacuated.
 	evacuations    uint64
 	evacuatedSince time.Duration
+	// labels draws the labels that jobs need. It is a generator of its own, so that the
+	// other properties of a seed don't depend on it.
+	labels *rand.Rand
+	// lateOnOtherLabels counts the starts on a worker without the required label by late
+	// calls to a previous process, which nothing prevents (docs/platform.md, question 7).
+	lateOnOtherLabels int
 }
 
 // startKey is an agent, or an entry and an agent, and a run.
@@ -130,15 +137,19 @@
 	w := &world{
 		engine: engine{random: rand.New(rand.NewPCG(s.seed, 2))}, scenario: s, timings: t,
 		cuts: cuts{count: map[cutKey]int{}, delays: map[[2]string]time.Duration{}}, jobs: map[string]*job{}, executing: map[link.TaskID][]execution{},
-		starts: map[startKey]startInfo{},
+		starts: map[startKey]startInfo{}, labels: rand.New(rand.NewPCG(s.seed, 3)),
 	}
 	w.now = time.Second
 	for i := range 2 + int(s.seed%2) {
 		w.entries = append(w.entries, &entry{process: w.newProcess(fmt.Sprintf("e%d", i)), w: w})
 	}
+	labelled := slices.Contains(s.kinds, changeWorker)
 	for i := range 3 {
 		a := &agent{process: w.newProcess(fmt.Sprintf("a%d", i)), w: w}
-		a.worker = &worker{w: w, agent: a}
+		a.worker = &worker{w: w, agent: a, capacity: workerCapacity}
+		if labelled {
+			a.worker.labels = labelSets[i]
+		}
 		w.agents = append(w.agents, a)
 	}
 	for _, a := range w.agents {
@@ -185,6 +196,9 @@
 	for range 1 + w.random.IntN(4) {
 		j.work = append(j.work, w.between(50*ms, 800*ms))
 	}
+	if slices.Contains(w.kinds, changeWorker) {
+		j.label = []string{"", "a", "b"}[w.labels.IntN(3)]
+	}
 	w.jobs[j.id] = j
 	w.send(j)
 	w.after(w.between(20*ms, 280*ms), w.nextJob)
@@ -293,7 +307,14 @@
 		w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("EVACUATED: run on %s, zone evacuated since %v", k.agent.name, w.evacuatedSince), 0, "evacuated"})
 	}
 	w.executing[r.task] = append(w.executing[r.task], execution{k, k.life, r, w.now})
-	if n := len(k.runs); n*taskNeed > workerCapacity {
+	if label := w.jobs[r.task.Job].label; label != "" && !slices.Contains(k.labels, label) {
+		if r.formerLife {
+			w.lateOnOtherLabels++
+		} else {
+			w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("LABEL: a task that needs %q begins on %s life %d with labels %q", label, k.agent.name, k.life, k.labels), 0, "label"})
+		}
+	}
+	if n := len(k.runs); int64(n*taskNeed) > k.capacity {
 		w.violations = append(w.violations, violation{w.now, r.task.Job, fmt.Sprintf("CAPACITY: %d runs on %s", n, k.agent.name), 0, "capacity"})
 	}
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -276,6 +276,9 @@
 		if c.BackoffMS > 0 {
 			state += fmt.Sprintf(" (%d ms)", c.BackoffMS)
 		}
+		if c.LeavesMS > 0 {
+			state += fmt.Sprintf(" (leaves in %d ms)", c.LeavesMS)
+		}
 		age := "none"
 		if c.ReportAgeMS >= 0 {
 			age = fmt.Sprintf("%d ms ago", c.ReportAgeMS)
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -27,7 +27,7 @@
 		slices.SortFunc(s.workersByName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 		s.byActivation = nil
 	}
-	w.connected, w.reported, w.zoneReported, w.active, w.activeSince, w.lastAvailable = true, false, false, true, now, now
+	w.connected, w.reported, w.zoneReported, w.active, w.activeSince, w.lastAvailable, w.leavesAt = true, false, false, true, now, now, 0
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
@@ -126,6 +126,7 @@
 	for i := range r.Ends {
 		s.attemptEnded(now, w, &r.Ends[i])
 	}
+	s.noteLeaves(now, w, r)
 	for i := range r.Progress {
 		s.taskProgressed(now, w, &r.Progress[i])
 	}
@@ -184,10 +185,19 @@
 	switch a.Result {
 	case link.Started:
 		t.job.started = true
-		if t.phase != stopping {
+		t.phaseSince, t.progressHeardAt = now, t.progressAt
+		if !t.confirmed {
+			// The answer to the claim of an attempt that was confirmed before tells nothing
+			// of when it began.
+			t.confirmed, t.startedAt, t.progressAt, t.progressHeardAt = true, now, now, now
+		}
+		switch {
+		case t.phase == lost && t.movesTo != nil:
+			// The stop may have been lost with the connection.
+			s.sendStop(now, t)
+		case t.phase != stopping:
 			t.phase = running
 		}
-		t.phaseSince, t.startedAt, t.progressAt = now, now, now
 	case link.Unknown:
 		// The attempt may be running until its lease expires.
 		t.phase = lost
@@ -230,6 +240,9 @@
 	case link.Failed:
 		s.taskFailed(now, t, w)
 	default:
+		if t.onLeaving && e.Outcome != link.Stopped {
+			s.leaveLosses++
+		}
 		s.log(decisions.Info("attempt ended early", "job", t.id.Job, "task", t.describe(), "worker", w.name, "how", e.Outcome, "ran_ms", e.RanMS))
 		s.requeue(now, t)
 	}
@@ -279,16 +292,16 @@
 		return
 	}
 	t.progressAt = max(t.progressAt, now-time.Duration(p.IdleMS)*time.Millisecond)
-	t.percent = p.Percent
+	t.percent, t.progressHeardAt = p.Percent, now
 	t.remaining = time.Duration(p.RemainingMS) * time.Millisecond
 	s.moveIfLate(now, t)
 }
 
 // moveIfLate stops a task that its worker would finish late, if another worker
 // with free capacity would finish it sooner. A stalled task is assumed to need
-// until after the cutoff.
+// until after the cutoff. On a leaving worker, only reviewLeaving moves tasks.
 func (s *Scheduler) moveIfLate(now time.Duration, t *task) {
-	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 {
+	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 || t.worker.leavesAt > 0 {
 		return
 	}
 	remaining := t.remaining
@@ -318,7 +331,17 @@
 	s.log(decisions.Info("task moved", "job", t.id.Job, "task", t.describe(), "from", t.worker.name, "to", other.name,
 		"percent", t.percent, "remaining_ms", remaining.Milliseconds(), "elsewhere_ms", otherRunTime.Milliseconds(),
 		"speed", t.worker.speed, "other_speed", other.speed))
+	s.stopToMove(now, t, other)
+}
+
+// stopToMove stops a running task so that it can start on another worker.
+func (s *Scheduler) stopToMove(now time.Duration, t *task, other *worker) {
 	t.moves++
+	t.movesTo = other
+	s.sendStop(now, t)
+}
+
+func (s *Scheduler) sendStop(now time.Duration, t *task) {
 	t.phase, t.phaseSince = stopping, now
 	c := s.command(t.worker)
 	c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
@@ -357,9 +380,7 @@
 			}
 		case stopping:
 			if now-t.phaseSince >= stopResendInterval {
-				t.phaseSince = now
-				c := s.command(t.worker)
-				c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
+				s.sendStop(now, t)
 			}
 		case ready:
 			waiting = true
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -136,6 +136,8 @@
 	ZoneTerm       float64 `json:"zone_term"`
 	// BackoffMS is the time for which the worker gets no start after it refused one.
 	BackoffMS int64 `json:"backoff_ms,omitempty"`
+	// LeavesMS is the time for which a worker stays at least that has announced to leave.
+	LeavesMS int64 `json:"leaves_ms,omitempty"`
 	// ReportAgeMS is the age of the last report, on which all of this is based; -1 if
 	// there was none.
 	ReportAgeMS int64 `json:"report_age_ms"`
@@ -358,6 +360,9 @@
 	if w.state.Zone != s.opts.Zone {
 		c.ZoneTerm = s.opts.Policy.ZoneWeight
 	}
+	if w.leavesAt > 0 {
+		c.LeavesMS = max(w.leavesAt-now, 0).Milliseconds()
+	}
 	if w.reportedAt > 0 {
 		c.ReportAgeMS = (now - w.reportedAt).Milliseconds()
 	}
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -66,7 +66,7 @@
 
 // loadedPair drives two schedulers with the same random events: workers of three zones and
 // different speeds, some with a label or a rack, jobs of three priorities, failures, refused
-// starts, lost connections and evacuated zones.
+// starts, lost connections, workers that leave and evacuated zones.
 type loadedPair struct {
 	*qt.C
 	rnd  *rand.Rand
@@ -162,6 +162,8 @@
 			s.SetEvacuated(p.now, uint64(p.now), nil)
 		case 3:
 			s.Tick(p.now)
+		case 4, 5:
+			r.Accepting, r.LeavesMS = false, 100
 		}
 		s.AgentReported(p.now, name, r)
 	})
@@ -230,19 +232,32 @@
 // it, such as a map that is added later.
 func TestSnapshotSharesNothingThatChanges(t *testing.T) {
 	p := newLoadedPair(t, 7)
-	for range 100 {
-		p.step()
-		p.both[0].Submit(p.now, p.newJob())
-	}
 	s := p.both[0]
-	original := walk(s).refs
-	for ref, path := range walk(s.Snapshot("j1").s).refs {
-		if from, shared := original[ref]; shared {
-			// What these fields refer to doesn't change.
-			fixed := slices.ContainsFunc([]string{".Steps", ".DependsOn", ".Labels", ".verdict"}, func(suffix string) bool { return strings.HasSuffix(path, suffix) })
-			qt.Check(t, fixed, qt.IsTrue, qt.Commentf("%s is shared with %s", path, from))
+	moving := 0
+	for n := range 400 {
+		p.step()
+		if n%8 == 0 {
+			// Moves need free capacity.
+			s.Submit(p.now, p.newJob())
+		}
+		moves := slices.ContainsFunc(s.sortedJobs(), func(j *job) bool {
+			return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.movesTo != nil })
+		})
+		if moves {
+			moving++
+		} else if n%20 != 0 {
+			continue
+		}
+		original := walk(s).refs
+		for ref, path := range walk(s.Snapshot("j1").s).refs {
+			if from, shared := original[ref]; shared {
+				// What these fields refer to doesn't change.
+				fixed := slices.ContainsFunc([]string{".Steps", ".DependsOn", ".Labels", ".verdict"}, func(suffix string) bool { return strings.HasSuffix(path, suffix) })
+				qt.Assert(t, fixed, qt.IsTrue, qt.Commentf("%s is shared with %s", path, from))
+			}
 		}
 	}
+	qt.Check(t, moving > 0, qt.IsTrue)
 }
 
 // Guards against a field that refers to state which changes, and which Snapshot doesn't copy
@@ -254,7 +269,7 @@
 		reflect.TypeFor[job]():       "Job tasks unfinished",
 		// The steps and the spec of a job don't change.
 		reflect.TypeFor[Job]():        "Steps",
-		reflect.TypeFor[task]():       "job worker failedOn",
+		reflect.TypeFor[task]():       "job worker failedOn movesTo",
 		reflect.TypeFor[evacuation](): "since unchecked runnableUntil",
 		reflect.TypeFor[Options]():    "",
 		// Labels don't change; a report brings new ones.
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -75,6 +75,9 @@
 					own.worker.tasks[t.id] = own
 				}
 			}
+			if t.movesTo != nil {
+				own.movesTo = c.workers[t.movesTo.name]
+			}
 			copied.tasks[i] = own
 		}
 		c.jobs[id] = &copied
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -44,22 +44,32 @@
 	// stop was sent. A task that is lost because of a link.Unknown answer keeps the
 	// time of its earlier phase.
 	phaseSince time.Duration
-	// startedAt is when the agent last confirmed an attempt, in answer to a start or
-	// a claim.
+	// startedAt is when the agent first confirmed an attempt, the last one for which it
+	// did, in answer to a start or a claim. confirmed says whether that is the present one.
 	startedAt time.Duration
+	confirmed bool
 	// percent is the last reported progress, and progressAt is when the attempt last
 	// made progress according to that report. remaining is the run time left according to that report; it is
 	// negative while no progress has been observed.
 	percent    uint8
 	progressAt time.Duration
 	remaining  time.Duration
-	failures   int
+	// progressHeardAt is when the agent last reported the progress of this attempt, and equal
+	// to progressAt until it has done so on the present connection.
+	progressHeardAt time.Duration
+	failures        int
 	// countedFailures are the failures that were not attributed to the worker.
 	countedFailures int
 	// failedOn lists the workers on which the task failed or its start was rejected.
 	failedOn []string
 	// moves counts the stops that were issued to move the task to another worker.
 	moves int
+	// movesTo is the worker whose capacity a moved task will need, from its stop until its
+	// next start.
+	movesTo *worker
+	// onLeaving says that the worker of the attempt has announced when it leaves. It stays
+	// set after the restart of the worker, of which a report may come before that of the end.
+	onLeaving bool
 	// leaseExpiresAt is when a lost attempt must have ended. It doesn't hold while claimed,
 	// that is, from the claim of the attempt until its answer or the loss of the connection:
 	// the agent may have taken the claim and renew the lease.
@@ -119,6 +129,8 @@
 	// backoffUntil is the time until which a worker that refused a start gets no
 	// further start.
 	backoffUntil time.Duration
+	// leavesAt is until when a worker stays at least that drains; 0 when unknown.
+	leavesAt time.Duration
 	// unconfirmed are the resources of starts that the agent has not answered.
 	unconfirmed link.Resources
 	tasks       map[link.TaskID]*task
@@ -148,7 +160,11 @@
 	// lastUrgent is when each service last got a job of the highest priority.
 	lastUrgent    map[string]time.Duration
 	refusedStarts int64
-	cachedAnswers map[string]cachedAnswer
+	// leaveMoves counts the tasks that were moved from leaving workers, leaveLosses those
+	// that ended with theirs. nextLeaveReview is when reviewLeaving next looks at them.
+	leaveMoves, leaveLosses int64
+	nextLeaveReview         time.Duration
+	cachedAnswers           map[string]cachedAnswer
 	// cacheOrder holds the keys of cachedAnswers, the oldest first.
 	cacheOrder []string
 	// lastAttempts holds the highest attempt of jobs that ended within answerRetention, and
@@ -201,7 +217,10 @@
 func (s *Scheduler) TakeActions(now time.Duration) Actions {
 	if s.placementDue {
 		s.placementDue = false
+		// Waiting tasks come first: a task that is stopped for capacity which one of them
+		// takes in the same pass would lose its progress for nothing.
 		s.placeWaiting(now)
+		s.reviewLeaving(now)
 		s.reviewActive(now)
 	}
 	out := s.pending
@@ -230,11 +249,17 @@
 	// refused for this reason since the entry started.
 	EvacuatedZones     int
 	EvacuationRefusals int64
+	// LeaveMoves counts the tasks that were moved from workers which announced when they
+	// leave, LeaveLosses those whose attempt ended with such a worker.
+	LeaveMoves, LeaveLosses int64
 }
 
 // Stats returns the present state.
 func (s *Scheduler) Stats() Stats {
-	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals}
+	stats := Stats{
+		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
+		EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
+	}
 	for _, w := range s.workersByName {
 		if !w.connected {
 			continue
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -190,7 +190,13 @@
 	switch m := m.(type) {
 	case *wire.Result:
 		ls.updateLoad(ag, m.Load, nil, now)
-		ls.removeInFlight(ag, taskID{m.Key, m.Task}, m.Outcome, m.RunTimeUS, now)
+		outcome := m.Outcome
+		if outcome == wire.OutcomeRefused && m.Reason == wire.ReasonLeaving {
+			// The worker has not failed. Counted as failures, refusals of a drain or an
+			// evacuation could eject it when it takes tasks again.
+			outcome = 0
+		}
+		ls.removeInFlight(ag, taskID{m.Key, m.Task}, outcome, m.RunTimeUS, now)
 		ls.trackFinished(m.Key, func() { ls.applyWithRetryBudget(ls.jobs.Result(a.id, m)) })
 	case *wire.Settled:
 		ls.handleSettled(ag, a, m, now)
@@ -268,9 +274,9 @@
 	if ag.sentConfigVersion >= ls.config.Version {
 		return
 	}
-	m := &wire.WorkerConfig{Version: ls.config.Version}
+	m := &wire.WorkerConfig{Version: ls.config.Version, Drain: ls.config.Evacuated(ag.zone)}
 	if w, ok := ls.config.Worker(ag.worker); ok {
-		m.Drain, m.Services = w.Drain, w.Services
+		m.Drain, m.Services = m.Drain || w.Drain, w.Services
 	}
 	if ag.conn.Send(m) == nil {
 		ag.sentConfigVersion = ls.config.Version
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -106,6 +106,10 @@
 		if r.confirmedAt > 0 {
 			r.startReported = true
 			s.answer(conn, k, link.Started)
+			if s.leavesAt > 0 && r.phase == running {
+				// The entry decides at once whether the run ends before the worker leaves.
+				s.reportProgress(now, conn, r)
+			}
 		}
 		return
 	}
@@ -213,7 +217,7 @@
 	s.extendLease(now, leaseEnd)
 	s.actions.Starts = append(s.actions.Starts, StartCall{
 		Task: c.Task, Attempt: c.Attempt, Spec: c.Spec, LeaseUntil: s.workerTime(leaseEnd), WorkerID: s.worker.ID, WorkerBorn: s.workerBorn,
-		Need: c.Need, ExpiresAt: leaseEnd, Timeout: s.callTimeout(now),
+		Need: c.Need, CreatedAt: now, ExpiresAt: leaseEnd, Timeout: s.callTimeout(now),
 	})
 }
 
@@ -248,6 +252,11 @@
 func (s *State) detectSuspension(now time.Duration) {
 	gap := now - s.lastEventAt
 	s.lastEventAt = now
+	if gap >= MaxEventGap {
+		// The worker may have restarted meanwhile, and starts be handled before the events
+		// that tell of it.
+		s.doubtInstance(now)
+	}
 	if gap < s.opts.SilenceTimeout {
 		return
 	}
