--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -271,7 +271,6 @@
 		reflect.TypeFor[Job]():        "Steps",
 		reflect.TypeFor[task]():       "job worker failedOn movesTo",
 		reflect.TypeFor[evacuation](): "since unchecked runnableUntil",
-		reflect.TypeFor[Options]():    "",
 		// Labels don't change; a report brings new ones.
 		reflect.TypeFor[link.WorkerState](): "Labels",
 		reflect.TypeFor[Command]():          "Starts Stops Claims",
@@ -363,13 +362,11 @@
 	}
 	s.TakeActions(now)
 	b.Run("snapshot", func(b *testing.B) {
-		b.ReportAllocs()
 		for b.Loop() {
 			s.Snapshot("x")
 		}
 	})
 	b.Run("explain", func(b *testing.B) {
-		b.ReportAllocs()
 		for b.Loop() {
 			s.Explain(now, job("x", 8))
 		}
