--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -124,6 +124,8 @@
 	free        link.Resources
 	speed       float64
 	failureRate float64
+	// reportedAt is the time of that report.
+	reportedAt time.Duration
 	// backoffUntil is the time until which a worker that refused a start gets no
 	// further start.
 	backoffUntil time.Duration
@@ -179,6 +181,10 @@
 	// a worker changes.
 	maxSpeeds  map[string]float64
 	evacuation evacuation
+	// onCandidate, if set, is called with each worker that is considered for a task, and
+	// onPick after the choice of a worker, before the start; w is nil if the task waits.
+	onCandidate func(t *task, c candidate)
+	onPick      func(now time.Duration, t *task, w *worker)
 }
 
 type cachedAnswer struct {
