Report the model's results by entry, and let entries differ in their callers

Cause: entries of one zone that share full workers refuse unequal shares of their jobs, which the model could not show: it reports sums over all entries, and all entries of a zone have equally many callers. Change: entry groups have a weight, by which callers choose among them; results have a row for each entry and the difference between entries of the shares refused and late. With equal weights the random draws, and so the results, are as before.

--- a/bench/model/entry.go
+++ b/bench/model/entry.go
@@ -38,8 +38,10 @@
 // entry is a simulated entry around the real scheduler.
 type entry struct {
 	process
-	sim       *simulation
-	index     int
+	sim   *simulation
+	index int
+	// weight is EntryGroup.Weight.
+	weight    float64
 	scheduler *dispatch.Scheduler
 	// links holds the agents in the order in which they became known; byName finds them.
 	links  []*entryLink
@@ -52,6 +54,8 @@
 	cutOff, dark int
 	// downSince is when the entry last began to refuse connections; inRotation uses it.
 	downSince time.Duration
+	// waitingSum is the sum over all ticks of the jobs that wait while callers submit jobs.
+	waitingSum int
 }
 
 // startEntry starts the process of an entry. It knows all agents after a while.
@@ -183,6 +187,9 @@
 		}
 	}
 	e.scheduler.Tick(now)
+	if s := e.sim; now >= warmUp && now < warmUp+milliseconds(s.scenario.DurationMS) {
+		e.waitingSum += e.scheduler.Stats().WaitingJobs
+	}
 }
 
 func (e *entry) send(now time.Duration, l *entryLink, m *link.Commands) {
--- a/bench/model/report.go
+++ b/bench/model/report.go
@@ -16,6 +16,9 @@
 // windowLength is the length of the periods for which results are reported.
 const windowLength = 2 * time.Second
 
+// maxEntryRows is the number of entries up to which a report has a row for each of them.
+const maxEntryRows = 16
+
 // Counts tells how jobs ended. Shares are of the jobs whose callers waited for an answer.
 type Counts struct {
 	Name string `json:"name"`
@@ -33,6 +36,9 @@
 	// P50MS and P99MS are response times of completed jobs.
 	P50MS float64 `json:"p50_ms"`
 	P99MS float64 `json:"p99_ms"`
+	// Waiting is the mean number of jobs that wait at an entry. It is set in
+	// Result.ByEntry.
+	Waiting float64 `json:"waiting,omitempty"`
 
 	asked, earned float64
 	times         *hdrhistogram.Histogram
@@ -54,6 +60,13 @@
 	Kinds    []Counts `json:"kinds"`
 	// Windows are named by their start in seconds.
 	Windows []Counts `json:"windows"`
+	// ByEntry counts each job at the entry to which it was sent last.
+	ByEntry []Counts `json:"by_entry"`
+	// RefusedSpread and LateSpread tell how unequally the entries serve: the largest less
+	// the smallest share of the jobs of an entry that were refused, or late, as the mean
+	// over the windows.
+	RefusedSpread float64 `json:"refused_spread"`
+	LateSpread    float64 `json:"late_spread"`
 	// UpperBound is a share of the worth that no dispatcher can answer on time, and
 	// Reference the share that a simple schedule with perfect knowledge answers on time.
 	UpperBound float64 `json:"upper_bound"`
@@ -134,6 +147,7 @@
 		}
 		out.Windows[(r.spec.sentAt-warmUp)/windowLength].add(r)
 	}
+	s.countByEntry(out)
 	out.All.finish()
 	for i := range out.Kinds {
 		out.Kinds[i].finish()
@@ -150,6 +164,44 @@
 	return out
 }
 
+// countByEntry sets what Result says of single entries.
+func (s *simulation) countByEntry(out *Result) {
+	windows := make([][]Counts, len(out.Windows))
+	for i, e := range s.entries {
+		c := newCounts(e.name)
+		c.Waiting = float64(e.waitingSum) / float64(milliseconds(s.scenario.DurationMS)/entryTick)
+		out.ByEntry = append(out.ByEntry, c)
+		for w := range windows {
+			windows[w] = append(windows[w], newCounts(s.entries[i].name))
+		}
+	}
+	for _, r := range s.order {
+		if r.entry != nil {
+			out.ByEntry[r.entry.index].add(r)
+			windows[(r.spec.sentAt-warmUp)/windowLength][r.entry.index].add(r)
+		}
+	}
+	for i := range out.ByEntry {
+		out.ByEntry[i].finish()
+	}
+	for _, entries := range windows {
+		out.RefusedSpread += spread(entries, func(c *Counts) int { return c.Refused }) / float64(len(windows))
+		out.LateSpread += spread(entries, func(c *Counts) int { return c.Late }) / float64(len(windows))
+	}
+}
+
+// spread returns the largest less the smallest share of the jobs that count gives.
+func spread(entries []Counts, count func(*Counts) int) float64 {
+	low, high := 1.0, 0.0
+	for i := range entries {
+		if c := &entries[i]; c.Jobs > 0 {
+			share := float64(count(c)) / float64(c.Jobs)
+			low, high = min(low, share), max(high, share)
+		}
+	}
+	return max(high-low, 0)
+}
+
 func (l *Load) add(p *process, elapsed time.Duration, jobs int) {
 	l.USPerJob += float64(p.used.Microseconds()) / float64(max(jobs, 1))
 	l.BusiestShare = max(l.BusiestShare, p.used.Seconds()/p.cores/elapsed.Seconds())
@@ -165,6 +217,13 @@
 		fmt.Fprintf(out, "%-16s %8d %8d %6d %8d %7d %6d %6.3f %9.1f %9.1f\n",
 			c.Name, c.Jobs, c.OnTime, c.Late, c.Refused, c.Failed, c.Left, c.Worth, c.P50MS, c.P99MS)
 	}
+	if len(r.ByEntry) <= maxEntryRows {
+		for _, c := range r.ByEntry {
+			fmt.Fprintf(out, "%-16s %8d %8d %6d %8d %7d %6d %6.3f %9.1f %9.1f  %.1f jobs waiting\n",
+				c.Name, c.Jobs, c.OnTime, c.Late, c.Refused, c.Failed, c.Left, c.Worth, c.P50MS, c.P99MS, c.Waiting)
+		}
+	}
+	fmt.Fprintf(out, "difference between entries: refused %.3f, late %.3f\n", r.RefusedSpread, r.LateSpread)
 	fmt.Fprintf(out, "runs: %d done, %d failed, %d stopped, %d lost with their worker, %d overlapping; %.1f core-seconds wasted\n",
 		r.RunsDone, r.RunsFailed, r.RunsStopped, r.RunsLost, r.Overlaps, r.WastedCoreS)
 	fmt.Fprintf(out, "%.2f messages a task, %.1f MB between zones; processor: entries %.0f us a job, busiest %.2f; agents %.0f us a job, busiest %.2f\n",
--- a/bench/model/run.go
+++ b/bench/model/run.go
@@ -31,6 +31,8 @@
 	outcome Outcome
 	// answeredAt is when the caller had the answer; 0 before.
 	answeredAt time.Duration
+	// entry is the entry to which the job was sent last; nil before.
+	entry *entry
 	// submissions counts the entries to which the job was sent.
 	submissions int
 	// running counts the runs of each task at the moment, to find double runs.
@@ -122,7 +124,7 @@
 	}
 	for _, g := range s.scenario.Entries {
 		for range g.Count {
-			e := &entry{sim: s, index: len(s.entries), uplink: hostLink{mbps: g.LinkMbps}, downlink: hostLink{mbps: g.LinkMbps}}
+			e := &entry{sim: s, index: len(s.entries), weight: g.Weight, uplink: hostLink{mbps: g.LinkMbps}, downlink: hostLink{mbps: g.LinkMbps}}
 			e.process = process{engine: &s.engine, name: "entry-" + strconv.Itoa(len(s.entries)), zone: g.Zone, cores: g.Cores, slowdown: 1}
 			e.flush = e.applyActions
 			s.entries = append(s.entries, e)
@@ -184,7 +186,25 @@
 			return candidates[0]
 		}
 	}
-	return candidates[s.callers.IntN(len(candidates))]
+	return s.pickByWeight(candidates)
+}
+
+// pickByWeight returns one of the entries, with a probability in proportion to its weight.
+func (s *simulation) pickByWeight(entries []*entry) *entry {
+	if !slices.ContainsFunc(entries, func(e *entry) bool { return e.weight != entries[0].weight }) {
+		return entries[s.callers.IntN(len(entries))]
+	}
+	total := 0.0
+	for _, e := range entries {
+		total += e.weight
+	}
+	at := s.callers.Float64() * total
+	for _, e := range entries {
+		if at -= e.weight; at < 0 {
+			return e
+		}
+	}
+	return entries[len(entries)-1]
 }
 
 // submit sends a job to an entry.
@@ -198,6 +218,7 @@
 		return
 	}
 	r.submissions++
+	r.entry = e
 	epoch := e.epoch
 	arrives := e.downlink.transmit(now+s.clientLatency(), requestBytes+r.spec.kind.SpecBytes)
 	s.engine.at(arrives, func(now time.Duration) {
--- a/bench/model/scenario.go
+++ b/bench/model/scenario.go
@@ -56,6 +56,8 @@
 	Cores float64 `json:"cores" default:"1" min:"0.01" max:"1024"`
 	// LinkMbps is the bandwidth of the host in each direction.
 	LinkMbps float64 `json:"link_mbps" default:"1000" min:"0.1" max:"400000"`
+	// Weight is the relative number of callers that connect to each of these entries.
+	Weight float64 `json:"weight" default:"1" min:"0.001" max:"1000"`
 }
 
 // WorkerGroup describes workers of one availability zone, each with its agent.
