--- /dev/null
+++ b/interference/pool.go
@@ -0,0 +1,147 @@
+package interference
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxPairs is the number of pairs that an entry keeps; further ones are ignored.
+	maxPairs = 256
+	// countConfidence and countFactor are what a pair needs in order to begin to count,
+	// ceaseConfidence and ceaseFactor below what it ceases to. The gap keeps a pair from
+	// changing back and forth with each report.
+	countConfidence = 0.999
+	countFactor     = 1.15
+	ceaseConfidence = 0.9
+	ceaseFactor     = 1.08
+	// maxFactor bounds the factor of a pair: beyond it, more of it changes no choice.
+	maxFactor = 4
+	// summaryRetention is how long sums are kept without an update.
+	summaryRetention = 10 * time.Minute
+	// expiryInterval is the time between two searches for outdated sums.
+	expiryInterval = 10 * time.Second
+)
+
+// sourceSums are the latest sums of a pair from one agent.
+type sourceSums struct {
+	sums Sums
+	at   time.Duration
+}
+
+// pooled is a pair with the sums of all agents.
+type pooled struct {
+	total   Sums
+	sources map[string]sourceSums
+	counts  bool
+	factor  float64
+}
+
+// Change says that a pair begins or ceases to count.
+type Change struct {
+	Pair
+	Counts             bool
+	Factor, Confidence float64
+}
+
+// Pool adds up the summaries of agents. It is not safe for concurrent use.
+type Pool struct {
+	pairs    map[Pair]*pooled
+	counting int
+	expireAt time.Duration
+}
+
+// NewPool returns a Pool without pairs.
+func NewPool() *Pool { return &Pool{pairs: map[Pair]*pooled{}} }
+
+// Update replaces what an agent has reported of the pairs in a list, and returns the
+// changes that this makes. Sums that no regression can have are ignored.
+func (p *Pool) Update(now time.Duration, source string, list []Summary) []Change {
+	if len(list) > MaxSuspects {
+		list = list[:MaxSuspects]
+	}
+	var changes []Change
+	for _, s := range list {
+		q := p.pairs[s.Pair]
+		if !s.valid() || len(s.Kind) > maxKindLength || len(s.Neighbor) > maxKindLength || q == nil && len(p.pairs) >= maxPairs {
+			continue
+		}
+		if q == nil {
+			q = &pooled{sources: map[string]sourceSums{}, factor: 1}
+			p.pairs[s.Pair] = q
+		}
+		q.total = q.total.sub(q.sources[source].sums).add(s.Sums)
+		q.sources[source] = sourceSums{s.Sums, now}
+		changes = p.judge(changes, s.Pair, q)
+	}
+	return changes
+}
+
+// judge decides whether a pair counts.
+func (p *Pool) judge(changes []Change, pair Pair, q *pooled) []Change {
+	factor, confidence := q.total.Factor(), q.total.Confidence(len(p.pairs))
+	counts := confidence >= countConfidence && factor >= countFactor
+	if q.counts {
+		counts = confidence >= ceaseConfidence && factor >= ceaseFactor
+	}
+	q.factor = min(factor, maxFactor)
+	if counts == q.counts {
+		return changes
+	}
+	q.counts = counts
+	if counts {
+		p.counting++
+	} else {
+		p.counting--
+	}
+	return append(changes, Change{pair, counts, factor, confidence})
+}
+
+// Expire drops sums that were not updated for summaryRetention. It has an effect once in
+// expiryInterval.
+func (p *Pool) Expire(now time.Duration) []Change {
+	if now < p.expireAt || len(p.pairs) == 0 {
+		return nil
+	}
+	p.expireAt = now + expiryInterval
+	var changes []Change
+	pairs := slices.SortedFunc(maps.Keys(p.pairs), func(a, b Pair) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Neighbor, b.Neighbor))
+	})
+	for _, pair := range pairs {
+		q := p.pairs[pair]
+		before := len(q.sources)
+		maps.DeleteFunc(q.sources, func(_ string, s sourceSums) bool { return now-s.at > summaryRetention })
+		if len(q.sources) == before {
+			continue
+		}
+		// Added up anew in a fixed order, so that rounding errors don't accumulate or
+		// depend on the order of a map.
+		q.total = Sums{}
+		for _, name := range slices.Sorted(maps.Keys(q.sources)) {
+			q.total = q.total.add(q.sources[name].sums)
+		}
+		changes = p.judge(changes, pair, q)
+		if len(q.sources) == 0 {
+			delete(p.pairs, pair)
+		}
+	}
+	return changes
+}
+
+// Counting is the number of pairs that count.
+func (p *Pool) Counting() int { return p.counting }
+
+// Pairs is the number of pairs of which agents have reported.
+func (p *Pool) Pairs() int { return len(p.pairs) }
+
+// Factor returns the factor by which a task of a kind takes longer beside one of the
+// neighbor kind; 1 if the pair doesn't count.
+func (p *Pool) Factor(kind, neighbor string) float64 {
+	if q := p.pairs[Pair{kind, neighbor}]; q != nil && q.counts {
+		return q.factor
+	}
+	return 1
+}
