link: Kind of a task, sums of pairs, and kinds that run

An agent can't tell which tasks slow each other down without their kinds, and a start names none. Start and Claim carry the name of the queue; reports carry the sums of suspected pairs and how many tasks of suspected kinds run. Both lists are empty where nothing interferes.

Measured: tests of the package and the decoder's seeds pass with -race.

--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -14,7 +14,7 @@
 	for _, m := range []Message{
 		&Hello{Protocol: Protocol, Entry: "e1", Incarnation: 1}, &Welcome{Protocol: Protocol, Agent: "a1"},
 		&Commands{Sequence: 1, Starts: []Start{{Task: TaskID{Job: "j"}, Attempt: 1, Spec: "s"}}, Stops: []Stop{{}}, Claims: []Claim{{}}},
-		&Report{Answers: []StartAnswer{{}}, Ends: []End{{}}, Progress: []Progress{{}}, Worker: &WorkerState{ID: "w", Labels: []string{"l"}}},
+		&Report{Answers: []StartAnswer{{}}, Ends: []End{{}}, Progress: []Progress{{}}, Worker: &WorkerState{ID: "w", Labels: []string{"l"}}, Pairs: []Pair{{Kind: "a"}}, Running: []KindCount{{Kind: "a"}}},
 	} {
 		frame, err := AppendFrame(nil, m)
 		qt.Assert(f, err, qt.IsNil)
--- a/link/messages.go
+++ b/link/messages.go
@@ -5,7 +5,7 @@
 // The limit keeps a damaged length from allocating more than a frame can hold.
 //msgp:limit arrays:16384
 
-//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Demand Commands Spec StartAnswer End Progress WorkerState Report
+//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Demand Commands Spec StartAnswer End Progress WorkerState Pair KindCount Report
 
 // Protocol is the version of the message set. A process rejects connections from
 // a peer with a different version.
@@ -64,6 +64,8 @@
 	// DueMS is the time that is left until the task must be done for its job to be on
 	// time, in milliseconds. It is negative if the job is late already.
 	DueMS int64
+	// Kind is the kind of the task, the name of its queue.
+	Kind string
 	// Spec is passed to the worker unchanged. On the wire, SpecIndex stands for it, the
 	// index of the spec in Commands.Specs.
 	Spec      string `msg:"-"`
@@ -93,6 +95,7 @@
 	Need       Resources
 	EstimateMS int64
 	DueMS      int64
+	Kind       string
 }
 
 // Evacuation tells an agent whether the operator has the availability zone of its worker
@@ -222,6 +225,20 @@
 	Labels   []string
 }
 
+// Pair holds sums of which entries estimate how much longer tasks of a kind run beside
+// tasks of a neighbor kind, see package interference. Sums of an agent replace its earlier
+// ones of the pair.
+type Pair struct {
+	Kind, Neighbor            string
+	XX, XY, Residual, Freedom float32
+}
+
+// KindCount is the number of tasks of a kind that run on the worker, for all entries.
+type KindCount struct {
+	Kind  string
+	Count uint16
+}
+
 // Report is the message that an agent sends to an entry. Answers and Ends are each
 // in the order of the events that they report.
 type Report struct {
@@ -250,4 +267,10 @@
 	// to 1. It also counts starts that the worker left unanswered. A failure of the
 	// same job as the previous failure is not counted.
 	FailureRate float32
+	// Pairs are pairs of kinds whose sums have changed. It is empty unless tasks seem to
+	// slow each other down.
+	Pairs []Pair
+	// Running lists the kinds of which tasks run on the worker, as far as they seem to slow
+	// down others or to be slowed down.
+	Running []KindCount
 }
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -14,8 +14,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Task.Job)
@@ -29,6 +29,7 @@
 	o = msgp.AppendInt64(o, z.Need.GPU)
 	o = msgp.AppendInt64(o, z.EstimateMS)
 	o = msgp.AppendInt64(o, z.DueMS)
+	o = msgp.AppendString(o, z.Kind)
 	return
 }
 
@@ -40,8 +41,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -109,13 +110,18 @@
 		err = msgp.WrapError(err, "DueMS")
 		return
 	}
+	z.Kind, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Claim) Msgsize() (s int) {
-	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
+	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Kind)
 	return
 }
 
@@ -613,6 +619,114 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z KindCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Kind)
+	o = msgp.AppendUint16(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KindCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Kind, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
+	z.Count, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KindCount) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Kind) + msgp.Uint16Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Pair) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendString(o, z.Kind)
+	o = msgp.AppendString(o, z.Neighbor)
+	o = msgp.AppendFloat32(o, z.XX)
+	o = msgp.AppendFloat32(o, z.XY)
+	o = msgp.AppendFloat32(o, z.Residual)
+	o = msgp.AppendFloat32(o, z.Freedom)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pair) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Kind, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
+	z.Neighbor, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Neighbor")
+		return
+	}
+	z.XX, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "XX")
+		return
+	}
+	z.XY, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "XY")
+		return
+	}
+	z.Residual, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Residual")
+		return
+	}
+	z.Freedom, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Freedom")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pair) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Neighbor) + msgp.Float32Size + msgp.Float32Size + msgp.Float32Size + msgp.Float32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Progress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -700,8 +814,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.ClockMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Answers)))
@@ -746,6 +860,21 @@
 	o = msgp.AppendFloat32(o, z.Speed)
 	o = msgp.AppendInt64(o, z.LeavesMS)
 	o = msgp.AppendFloat32(o, z.FailureRate)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pairs)))
+	for za0004 := range z.Pairs {
+		o, err = z.Pairs[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pairs", za0004)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
+	for za0005 := range z.Running {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Running[za0005].Kind)
+		o = msgp.AppendUint16(o, z.Running[za0005].Count)
+	}
 	return
 }
 
@@ -757,8 +886,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -898,6 +1027,65 @@
 		err = msgp.WrapError(err, "FailureRate")
 		return
 	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pairs")
+		return
+	}
+	if zb0006 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Pairs) >= int(zb0006) {
+		z.Pairs = (z.Pairs)[:zb0006]
+	} else {
+		z.Pairs = make([]Pair, zb0006)
+	}
+	for za0004 := range z.Pairs {
+		bts, err = z.Pairs[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Pairs", za0004)
+			return
+		}
+	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	if zb0007 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Running) >= int(zb0007) {
+		z.Running = (z.Running)[:zb0007]
+	} else {
+		z.Running = make([]KindCount, zb0007)
+	}
+	for za0005 := range z.Running {
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Running", za0005)
+			return
+		}
+		if zb0008 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+			return
+		}
+		z.Running[za0005].Kind, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Running", za0005, "Kind")
+			return
+		}
+		z.Running[za0005].Count, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Running", za0005, "Count")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -921,7 +1109,14 @@
 	} else {
 		s += z.Worker.Msgsize()
 	}
-	s += msgp.BoolSize + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Float32Size + msgp.Int64Size + msgp.Float32Size
+	s += msgp.BoolSize + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Float32Size + msgp.Int64Size + msgp.Float32Size + msgp.ArrayHeaderSize
+	for za0004 := range z.Pairs {
+		s += z.Pairs[za0004].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0005 := range z.Running {
+		s += 1 + msgp.StringPrefixSize + len(z.Running[za0005].Kind) + msgp.Uint16Size
+	}
 	return
 }
 
@@ -1034,8 +1229,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Start) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Task.Job)
@@ -1050,6 +1245,7 @@
 	o = msgp.AppendInt64(o, z.EstimateMS)
 	o = msgp.AppendUint64(o, z.WorkerRevision)
 	o = msgp.AppendInt64(o, z.DueMS)
+	o = msgp.AppendString(o, z.Kind)
 	o = msgp.AppendUint16(o, z.SpecIndex)
 	return
 }
@@ -1062,8 +1258,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1136,6 +1332,11 @@
 		err = msgp.WrapError(err, "DueMS")
 		return
 	}
+	z.Kind, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
 	z.SpecIndex, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "SpecIndex")
@@ -1147,7 +1348,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Start) Msgsize() (s int) {
-	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Uint16Size
+	s = 1 + 1 + msgp.StringPrefixSize + len(z.Task.Job) + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint32Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size + msgp.Int64Size + msgp.StringPrefixSize + len(z.Kind) + msgp.Uint16Size
 	return
 }
 
