runner: Learn which kinds of tasks slow each other down

The agent sees all runs of its worker, for all entries. It measures for each run how long tasks of each kind ran beside it and how full the worker was, and passes runs that succeeded to the learner. Kinds are looked up in a sorted order, so that results don't depend on the order of a map.

--- a/interference/learner.go
+++ b/interference/learner.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -118,8 +119,9 @@
 	var x row
 	x[constantColumn], x[loadColumn], x[speedColumn] = 1, min(max(r.Load, 0), 1), logSpeed
 	x[valueColumn] = min(max(value, s.center-maxLogDeviation), s.center+maxLogDeviation)
-	for name, share := range r.Presence {
-		if share > 0 && name != "" && len(name) <= maxKindLength {
+	// Sorted, so that the places of kinds don't depend on the order of a map.
+	for _, name := range slices.Sorted(maps.Keys(r.Presence)) {
+		if share := r.Presence[name]; share > 0 && name != "" && len(name) <= maxKindLength {
 			x[firstNeighbor+l.slotOf(now, name)] = min(share, 1)
 		}
 	}
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -36,7 +36,6 @@
 	total   Sums
 	sources map[string]sourceSums
 	counts  bool
-	factor  float64
 }
 
 // Change says that a pair begins or ceases to count.
@@ -48,11 +47,22 @@
 
 // Pool adds up the summaries of agents. It is not safe for concurrent use.
 type Pool struct {
-	pairs    map[Pair]*pooled
-	counting int
+	pairs map[Pair]*pooled
+	// counted lists the pairs that count, sorted.
+	counted  []Counted
 	expireAt time.Duration
 }
 
+// Counted is a pair that counts, and its factor.
+type Counted struct {
+	Pair
+	Factor float64
+}
+
+func comparePairs(a, b Pair) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Neighbor, b.Neighbor))
+}
+
 // NewPool returns a Pool without pairs.
 func NewPool() *Pool { return &Pool{pairs: map[Pair]*pooled{}} }
 
@@ -69,7 +79,7 @@
 			continue
 		}
 		if q == nil {
-			q = &pooled{sources: map[string]sourceSums{}, factor: 1}
+			q = &pooled{sources: map[string]sourceSums{}}
 			p.pairs[s.Pair] = q
 		}
 		q.total = q.total.sub(q.sources[source].sums).add(s.Sums)
@@ -86,16 +96,19 @@
 	if q.counts {
 		counts = confidence >= ceaseConfidence && factor >= ceaseFactor
 	}
-	q.factor = min(factor, maxFactor)
+	at, found := slices.BinarySearchFunc(p.counted, pair, func(c Counted, pair Pair) int { return comparePairs(c.Pair, pair) })
+	switch {
+	case counts && found:
+		p.counted[at].Factor = min(factor, maxFactor)
+	case counts:
+		p.counted = slices.Insert(p.counted, at, Counted{pair, min(factor, maxFactor)})
+	case found:
+		p.counted = slices.Delete(p.counted, at, at+1)
+	}
 	if counts == q.counts {
 		return changes
 	}
 	q.counts = counts
-	if counts {
-		p.counting++
-	} else {
-		p.counting--
-	}
 	return append(changes, Change{pair, counts, factor, confidence})
 }
 
@@ -107,10 +120,7 @@
 	}
 	p.expireAt = now + expiryInterval
 	var changes []Change
-	pairs := slices.SortedFunc(maps.Keys(p.pairs), func(a, b Pair) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Neighbor, b.Neighbor))
-	})
-	for _, pair := range pairs {
+	for _, pair := range slices.SortedFunc(maps.Keys(p.pairs), comparePairs) {
 		q := p.pairs[pair]
 		before := len(q.sources)
 		maps.DeleteFunc(q.sources, func(_ string, s sourceSums) bool { return now-s.at > summaryRetention })
@@ -132,7 +142,10 @@
 }
 
 // Counting is the number of pairs that count.
-func (p *Pool) Counting() int { return p.counting }
+func (p *Pool) Counting() int { return len(p.counted) }
+
+// Counted returns the pairs that count, sorted. It must not be changed.
+func (p *Pool) Counted() []Counted { return p.counted }
 
 // Pairs is the number of pairs of which agents have reported.
 func (p *Pool) Pairs() int { return len(p.pairs) }
@@ -140,8 +153,10 @@
 // Factor returns the factor by which a task of a kind takes longer beside one of the
 // neighbor kind; 1 if the pair doesn't count.
 func (p *Pool) Factor(kind, neighbor string) float64 {
-	if q := p.pairs[Pair{kind, neighbor}]; q != nil && q.counts {
-		return q.factor
+	for _, c := range p.counted {
+		if c.Pair == (Pair{kind, neighbor}) {
+			return c.Factor
+		}
 	}
 	return 1
 }
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -97,7 +97,7 @@
 			r.leaseLimit = noLeaseLimit
 		}
 		if !r.needKnown {
-			r.need, r.needKnown, r.estimate = c.Need, true, time.Duration(c.EstimateMS)*time.Millisecond
+			r.need, r.needKnown, r.estimate, r.kind = c.Need, true, time.Duration(c.EstimateMS)*time.Millisecond, c.Kind
 			r.dueAt = now + time.Duration(c.DueMS)*time.Millisecond
 		}
 		if r.confirmedAt > 0 {
@@ -201,7 +201,7 @@
 		runKey: k, need: c.Need, needKnown: true, estimate: time.Duration(c.EstimateMS) * time.Millisecond,
 		dueAt: now + time.Duration(c.DueMS)*time.Millisecond,
 		conn:  id, entry: conn.entry, startSentAt: now, progressAt: now, rate: progressRate{at: now}, workerBorn: s.workerBorn,
-		leaseLimit: noLeaseLimit,
+		leaseLimit: noLeaseLimit, kind: c.Kind, before: s.neighbors.snapshot(now, c.Kind),
 	}
 	s.lastStartAt = now
 	s.extendLease(now, leaseEnd)
@@ -258,6 +258,7 @@
 func (s *State) Tick(now time.Duration) {
 	s.detectSuspension(now)
 	s.dropSilentConns(now)
+	s.learner.Review(now)
 	if s.formerRunsEnded(now) {
 		s.handleHeldClaims(now)
 	}
--- a/runner/state.go
+++ b/runner/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -38,6 +39,10 @@
 	// until an entry claims it and states its resource need.
 	needKnown bool
 	estimate  time.Duration
+	// kind is that of link.Start; empty until the run is claimed if it was found on the
+	// worker. before is set if this process has started the run.
+	kind   string
+	before neighborsAtStart
 	// dueAt is when the run must be done for its job to be on time.
 	dueAt time.Duration
 	// conn is the connection of the run's entry. It is 0 while there is none, which
@@ -121,6 +126,9 @@
 	reportedAccepting bool
 	reportedSpeed     float64
 	reportedRevision  uint64
+	// pairsRevision and pairsAt are of the last report of pairs, see reportPairs.
+	pairsRevision uint64
+	pairsAt       time.Duration
 	// reportDue requests a report even if pending is nil.
 	reportDue bool
 }
@@ -195,7 +203,11 @@
 	lossyUntil      time.Duration
 	nextRenewAt     time.Duration
 
-	speed             *speedMeter
+	speed *speedMeter
+	// learner estimates which kinds of tasks slow each other down, from the runs beside
+	// which neighbors were measured.
+	learner           *interference.Learner
+	neighbors         neighbors
 	lastFailureRate   float64
 	lastFailureRateAt time.Duration
 	lastFailedJob     string
@@ -209,12 +221,13 @@
 func New(now time.Duration, o Options) *State {
 	return &State{
 		opts: o, startedAt: now, lastEventAt: now, conns: map[ConnID]*entryConn{}, runs: map[runKey]*run{}, recentEnds: map[runKey]recentEnd{}, unansweredStarts: map[runKey]unansweredStart{},
-		speed: newSpeedMeter(),
+		speed: newSpeedMeter(), learner: interference.NewLearner(), neighbors: neighbors{at: now},
 	}
 }
 
 // TakeActions returns the actions that have become due since the last call.
 func (s *State) TakeActions(now time.Duration) Actions {
+	s.updateNeighbors(now)
 	s.markReportsDue(now)
 	for _, conn := range s.connsByID {
 		if conn.pending == nil && !conn.reportDue {
@@ -471,6 +484,7 @@
 		}
 		conn.reportedRevision = s.workerRevision
 	}
+	s.reportPairs(now, conn, rep)
 	conn.reportedAt, conn.reportedFree, conn.reportedAccepting, conn.reportedSpeed = now, rep.Free, rep.Accepting, s.speed.speed()
 	conn.pending, conn.reportDue = nil, false
 	return *rep
@@ -499,6 +513,9 @@
 		if conn.inactive || now-conn.reportedAt < minReportInterval {
 			continue
 		}
+		if s.pairsDue(now, conn) {
+			conn.reportDue = true
+		}
 		if conn.waiting && free.MilliCPU > conn.reportedFree.MilliCPU {
 			conn.reportDue = true
 		}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -288,6 +288,7 @@
 		s.recordOutcome(now, e.Task.Job, false)
 		if ran := now - r.startSentAt; ran > 0 && r.needKnown {
 			s.speed.addFinished(now, float64(r.estimate)/float64(ran))
+			s.observeRun(now, r)
 		}
 	case link.Failed:
 		s.recordOutcome(now, e.Task.Job, true)
