dispatch: Keep kinds of tasks apart that slow each other down

The entry adds up what agents report and multiplies the cost of a worker by the slowdown of the task there and by that which it causes. This changes the order of workers with room only: capacity, admission and predicted run times are as before, and so is everything while no pair counts, or while the free share is below ScarceFreeShare.

The starts of 300 jobs are the same with the feature and without while reported pairs are in doubt.

--- /dev/null
+++ b/dispatch/contention_test.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/link"
+)
+
+// pair returns sums of a pair with a slowdown factor that is beyond doubt.
+func pair(kind, neighbor string, factor float64) link.Pair {
+	return link.Pair{Kind: kind, Neighbor: neighbor, XX: 100, XY: float32(101 * math.Log(factor)), Residual: 100, Freedom: 1000}
+}
+
+// Load pattern: tasks of two queues, one of which slows the other down, with and without
+// room to keep them apart, and with only one worker that has any.
+func TestKindsAreKeptApartWhereThereIsRoom(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		pair         link.Pair
+		free1, free2 int
+		want         string
+	}{
+		{"nothing is known", link.Pair{}, 6, 6, "w1"},
+		{"the task is slowed down", pair("queue", "other", 2), 6, 6, "w2"},
+		{"the task slows others down", pair("other", "queue", 2), 6, 6, "w2"},
+		{"another pair", pair("other", "third", 2), 6, 6, "w1"},
+		{"scarce capacity", pair("queue", "other", 2), 2, 2, "w1"},
+		{"only that worker has room", pair("queue", "other", 50), 8, 0, "w1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("w1", 8, 1.1)
+			h.addWorker("w2", 8, 0.8)
+			h.report("w1", tc.free1, 1.1, &link.Report{Running: []link.KindCount{{Kind: "other", Count: 2}}})
+			h.report("w2", tc.free2, 0.8, &link.Report{Pairs: []link.Pair{tc.pair}})
+			// Due so soon that the task doesn't go to the slowest worker that is fast enough.
+			j := h.newJob("j", 1, 100*ms)
+			j.LatencyFactor, j.LatencyAllowance = 0.9, 20*ms
+			h.mustAccept(j)
+			h.Assert(h.takeStarts()[tc.want], qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against a log line with each report, and against a pair that nobody is told of.
+func TestChangesOfPairsAreLogged(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("w1", 8, 1)
+	lines := func(p link.Pair) int {
+		h.s.TakeActions(h.now)
+		h.report("w1", 8, 1, &link.Report{Pairs: []link.Pair{p}})
+		return len(h.s.TakeActions(h.now).LogLines)
+	}
+	h.Assert(lines(pair("a", "b", 2)), qt.Equals, 1)
+	h.Assert(lines(pair("a", "b", 2.1)), qt.Equals, 0)
+	h.Assert(lines(pair("a", "b", 1)), qt.Equals, 1)
+	h.Assert(h.s.Stats().PairChanges, qt.Equals, int64(2))
+	h.Assert(h.s.Stats().InterferingPairs, qt.Equals, 0)
+}
+
+// Guards against a different placement where no pair counts, also if agents report some
+// that are in doubt.
+func TestPlacementIsUnchangedWithoutPairs(t *testing.T) {
+	placed := func(weight float64) (starts []string) {
+		h := newHarness(t)
+		h.s.opts.Policy.ContentionWeight = weight
+		random := rand.New(rand.NewPCG(1, 2))
+		for i := range 20 {
+			h.addWorker(fmt.Sprint("w", i), 8, 0.5+random.Float64())
+		}
+		for i := range 300 {
+			j := h.newJob(fmt.Sprint("j", i), 1+random.IntN(3), 100*ms)
+			j.Queue = fmt.Sprint("q", i%3)
+			h.mustAccept(j)
+			for _, command := range h.takeActions() {
+				w, list := command.Worker, command.Starts
+				for _, s := range list {
+					starts = append(starts, fmt.Sprint(w, s.Task))
+				}
+				// Some have ended, and tasks of other entries run there.
+				doubtful := pair("q1", "q2", 1.3)
+				doubtful.Residual = 100000
+				r := &link.Report{Running: []link.KindCount{{Kind: "q2", Count: 1}}, Pairs: []link.Pair{doubtful}}
+				for _, s := range list {
+					r.Answers, r.Ends = append(r.Answers, started(s)), append(r.Ends, ended(s, link.Done))
+				}
+				h.report(w, 4+random.IntN(4), 0.5+random.Float64(), r)
+			}
+		}
+		return starts
+	}
+	with, without := placed(1), placed(0)
+	qt.Assert(t, len(with) > 300, qt.IsTrue)
+	qt.Assert(t, slices.Equal(with, without), qt.IsTrue)
+}
+
+// The cost of placing a task on one of 890 workers, without and with pairs that count.
+func BenchmarkPlacement(b *testing.B) {
+	for _, pairs := range []int{0, 1, 8} {
+		b.Run(fmt.Sprint(pairs, " pairs"), func(b *testing.B) {
+			h := &harness{C: qt.New(b), s: New(Options{MaxWaitingJobs: 1000})}
+			for i := range 890 {
+				h.addWorker(fmt.Sprint("w", i), 8, 1)
+			}
+			r := &link.Report{}
+			for i := range pairs {
+				r.Pairs = append(r.Pairs, pair("queue", fmt.Sprint("q", i), 2))
+			}
+			h.report("w0", 8, 1, r)
+			t := newJob(h.newJob("j", 1, 100*ms)).tasks[0]
+			for b.Loop() {
+				h.s.pickWorker(0, t)
+			}
+		})
+	}
+}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -36,7 +36,7 @@
 			c := s.command(w)
 			c.Claims = append(c.Claims, link.Claim{
 				Task: t.id, Attempt: t.attempt, Need: t.step().Need, EstimateMS: t.step().Estimate.Milliseconds(),
-				DueMS: (t.job.dueAt - now).Milliseconds(),
+				DueMS: (t.job.dueAt - now).Milliseconds(), Kind: t.job.Queue,
 			})
 		}
 	}
@@ -112,6 +112,7 @@
 	}
 	w.reported, w.accepting, w.free = true, r.Accepting, r.Free
 	w.speed, w.failureRate = clamp(r.Speed, minSpeed, maxReportedSpeed), clamp(r.FailureRate, 0, 1)
+	s.contentionReported(now, w, r)
 	for i := range r.Answers {
 		s.startAnswered(now, w, &r.Answers[i])
 	}
@@ -321,6 +322,7 @@
 	for _, j := range s.sortedJobs() {
 		s.tickJob(now, j)
 	}
+	s.logPairs(s.pairs.Expire(now))
 	s.placementDue = true
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -289,7 +289,7 @@
 	c := s.command(w)
 	c.Starts = append(c.Starts, link.Start{
 		Task: t.id, Attempt: t.attempt, Need: need, EstimateMS: t.step().Estimate.Milliseconds(),
-		DueMS: (t.job.dueAt - now).Milliseconds(), Spec: t.job.Spec, WorkerRevision: w.state.Revision,
+		DueMS: (t.job.dueAt - now).Milliseconds(), Kind: t.job.Queue, Spec: t.job.Spec, WorkerRevision: w.state.Revision,
 	})
 }
 
@@ -309,6 +309,7 @@
 	eligible := false
 	need := t.step().Need
 	timeLeft := t.job.dueAt - now
+	keepApart := s.keepsApart(t.job.Service)
 	for _, w := range s.workersByName {
 		if !w.usable(t.job.Service) || !s.eligible(t, w) {
 			continue
@@ -323,6 +324,9 @@
 			continue
 		}
 		c := candidate{w, runTime, s.cost(t, w, runTime)}
+		if keepApart {
+			c.cost *= s.contention(t, w)
+		}
 		if best.w == nil || c.cost < best.cost {
 			best = c
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -114,6 +115,8 @@
 	// unconfirmed are the resources of starts that the agent has not answered.
 	unconfirmed link.Resources
 	tasks       map[link.TaskID]*task
+	// running is that of the agent's last report.
+	running []link.KindCount
 	// preference, from 0 to 1, ranks workers that are otherwise almost equal.
 	preference float64
 }
@@ -156,6 +159,9 @@
 	// maxSpeeds caches the result of maxSpeed by service. It is cleared whenever
 	// a worker changes.
 	maxSpeeds map[string]float64
+	// pairs tells which kinds of tasks slow each other down. pairChanges counts its changes.
+	pairs       *interference.Pool
+	pairChanges int64
 }
 
 type cachedAnswer struct {
@@ -178,6 +184,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
+		pairs: interference.NewPool(),
 	}
 }
 
@@ -212,11 +219,15 @@
 	// RefusedStarts counts the starts that agents refused since the entry started, most of
 	// them because other entries were faster.
 	RefusedStarts int64
+	// InterferingPairs are the pairs of kinds that count, PairChanges how often a pair has
+	// begun or ceased to count since the entry started.
+	InterferingPairs int
+	PairChanges      int64
 }
 
 // Stats returns the present state.
 func (s *Scheduler) Stats() Stats {
-	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts}
+	stats := Stats{Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges}
 	for _, w := range s.workersByName {
 		if !w.connected {
 			continue
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -150,6 +150,9 @@
 	// MinMoveGain limits moves: a task is moved only if its remaining run time is at
 	// least MinMoveGain times the predicted run time on the other worker, plus moveCost.
 	MinMoveGain float64
+	// ContentionWeight is the weight of the slowdown between kinds of tasks in the cost of
+	// a worker; 0 leaves it out.
+	ContentionWeight float64
 }
 
 // DefaultPolicy is the policy of entries.
@@ -171,6 +174,7 @@
 	UrgentReserveShare: 0.05,
 	ActiveHeadroom:     4,
 	MinMoveGain:        1.4,
+	ContentionWeight:   1,
 }
 
 // Limits and weights of the scheduling decisions.
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -140,10 +140,11 @@
 	lastWake                        time.Duration
 	stoodStillFrom, stoodStillUntil time.Duration
 	lag                             lagMeter
-	// statsAt is when the state was last recorded for the metrics, and refusedStarts what
-	// it said of refused starts.
+	// statsAt is when the state was last recorded for the metrics, and refusedStarts and
+	// pairChanges are the counts that were recorded then.
 	statsAt       time.Duration
 	refusedStarts int64
+	pairChanges   int64
 }
 
 // event is an event of the event loop. handle gets the time at which it is handled.
@@ -292,8 +293,8 @@
 		return
 	}
 	stats := d.scheduler.Stats()
-	d.metrics.recordStats(stats, stats.RefusedStarts-d.refusedStarts, d.lag.mean)
-	d.statsAt, d.refusedStarts = now, stats.RefusedStarts
+	d.metrics.recordStats(stats, stats.RefusedStarts-d.refusedStarts, stats.PairChanges-d.pairChanges, d.lag.mean)
+	d.statsAt, d.refusedStarts, d.pairChanges = now, stats.RefusedStarts, stats.PairChanges
 }
 
 // checkSuspension returns the time, and tells the scheduler if the process was
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -25,6 +25,9 @@
 	// The gauges and startsRefused are set from dispatch.Stats.
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
 	startsRefused                                           tally.Counter
+	// interferingPairs and pairChanges are set likewise.
+	interferingPairs tally.Gauge
+	pairChanges      tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -47,6 +50,7 @@
 		jobs:            scope.Gauge("jobs_in_progress"), waitingJobs: scope.Gauge("jobs_waiting"),
 		workersConnected: scope.Gauge("workers_connected"), workersActive: scope.Gauge("workers_active"),
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
+		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
@@ -61,8 +65,10 @@
 }
 
 // recordStats sets the metrics that describe the present state. refused is the number of
-// refused starts since the last call.
-func (m *metrics) recordStats(s dispatch.Stats, refused int64, lag time.Duration) {
+// refused starts since the last call, pairChanges that of changes of pairs.
+func (m *metrics) recordStats(s dispatch.Stats, refused, pairChanges int64, lag time.Duration) {
+	m.interferingPairs.Update(float64(s.InterferingPairs))
+	m.pairChanges.Inc(pairChanges)
 	m.jobs.Update(float64(s.Jobs))
 	m.waitingJobs.Update(float64(s.WaitingJobs))
 	m.workersConnected.Update(float64(s.ConnectedWorkers))
