model: Tasks that slow each other down

Scenarios can name kinds whose tasks run longer beside each other, and the scenario contention has two of three. -interference sets the factor of all pairs, so that strengths can be compared.

--- a/bench/model/command.go
+++ b/bench/model/command.go
@@ -70,6 +70,7 @@
 	agents := f.Int("agents", 0, "number of agents and workers, with the load in proportion; 0 means as in the scenario")
 	seed := f.Uint64("seed", 1, "seed of load and faults")
 	seeds := f.Int("seeds", 1, "number of runs, with consecutive seeds")
+	interference := f.Float64("interference", 0, "`factor` of all pairs of kinds that slow each other down; 0 means as in the scenario")
 	asJSON := f.Bool("json", false, "write one JSON object per run")
 	compare := f.Bool("compare", false, "also run the default policy, and print the difference of each run")
 	plotFile := f.String("plot", "", "write the worth over time of the first seed to this `file` (.png, .svg or .pdf)")
@@ -89,6 +90,8 @@
 		return usage("-scenario is missing")
 	case *entries < 0 || *entries > 2000 || *agents < 0 || *agents > 5000:
 		return usage("at most 2000 entries and 5000 agents")
+	case *interference != 0 && !(*interference >= 1 && *interference <= 100):
+		return usage("-interference must be from 1 to 100")
 	case *seeds < 1 || *seeds > maxSeeds:
 		return usage("-seeds must be from 1 to %d", maxSeeds)
 	}
@@ -97,6 +100,11 @@
 		return usage("%v", err)
 	}
 	scenario.Resize(*entries, *agents)
+	for i := range scenario.Interference {
+		if *interference != 0 {
+			scenario.Interference[i].Factor = *interference
+		}
+	}
 	names, policies := []string{changed.String()}, []dispatch.Policy{changed.policy}
 	if *compare {
 		names, policies = []string{"default", changed.String()}, []dispatch.Policy{dispatch.DefaultPolicy, changed.policy}
--- a/bench/model/model_test.go
+++ b/bench/model/model_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+// Load pattern: two kinds of tasks that take twice as long beside each other. Guards against
+// a slowdown that agents see and placement doesn't follow, and against an effect of the
+// feature where nothing interferes.
+func TestKindsThatInterfereAreKeptApart(t *testing.T) {
+	c := qt.New(t)
+	worth := func(interference []Interference, weight float64) float64 {
+		s := read(c, "contention")
+		s.Resize(3, 16)
+		s.DurationMS, s.Events, s.Interference = 20000, nil, interference
+		policy := dispatch.DefaultPolicy
+		policy.ContentionWeight = weight
+		r, err := Run(s, 1, policy)
+		c.Assert(err, qt.IsNil)
+		return r.Windows[len(r.Windows)-1].Worth
+	}
+	both := read(c, "contention").Interference
+	with, without := worth(both, 1), worth(both, 0)
+	c.Check(with > without+0.03, qt.IsTrue, qt.Commentf("%v %v", with, without))
+	c.Check(worth(nil, 1), qt.Equals, worth(nil, 0))
+}
+
 // Load pattern: power loss of all hosts. The bound must not promise what nobody can
 // serve, and must not be below what is served on time.
 func TestBoundOfAPowerLoss(t *testing.T) {
--- a/bench/model/network.go
+++ b/bench/model/network.go
@@ -11,8 +11,10 @@
 // about compressedShare of their size.
 const (
 	messageBytes    = 24
-	startBytes      = 48
+	startBytes      = 54
 	taskBytes       = 24
+	pairBytes       = 40
+	kindBytes       = 10
 	answerBytes     = 150
 	requestBytes    = 400
 	compressedShare = 0.55
@@ -113,7 +115,7 @@
 	e, a := c.entry, c.agent
 	a.spend(microseconds(s.scenario.Costs.AgentMessageUS))
 	s.messages++
-	bytes := messageBytes + (len(r.Answers)+len(r.Ends)+len(r.Progress))*taskBytes
+	bytes := messageBytes + (len(r.Answers)+len(r.Ends)+len(r.Progress))*taskBytes + len(r.Pairs)*pairBytes + len(r.Running)*kindBytes
 	s.countBytes(a.zone, e.zone, bytes)
 	s.carry(c, a.clock+s.latency(a.zone, e.zone), func(now time.Duration) {
 		now = e.downlink.transmit(now, bytes)
--- a/bench/model/run.go
+++ b/bench/model/run.go
@@ -284,6 +284,6 @@
 	default:
 		s.runsStopped++
 	}
-	left := max(r.remaining-float64(now-r.updatedAt)*w.rate(), 0)
+	left := max(r.remaining-float64(now-r.updatedAt)*w.runRate(r), 0)
 	s.wastedWork += time.Duration((r.total - left) * float64(r.need.MilliCPU) / 1000)
 }
--- a/bench/model/scenario.go
+++ b/bench/model/scenario.go
@@ -19,7 +19,9 @@
 	Kinds      []JobKind     `json:"kinds"`
 	Callers    []CallerGroup `json:"callers"`
 	Retries    Retries       `json:"retries"`
-	Events     []Event       `json:"events" optional:"true"`
+	// Interference lists kinds whose tasks slow each other down.
+	Interference []Interference `json:"interference" optional:"true"`
+	Events       []Event        `json:"events" optional:"true"`
 }
 
 // Network holds the one-way latencies between hosts, in microseconds.
@@ -112,6 +114,14 @@
 	FailureShare float64 `json:"failure_share" default:"0" min:"0" max:"1"`
 }
 
+// Interference says that tasks of a kind take Factor times as long while a task of the
+// neighbor kind runs on the same worker.
+type Interference struct {
+	Kind     string  `json:"kind" kind:"name"`
+	Neighbor string  `json:"neighbor" kind:"name"`
+	Factor   float64 `json:"factor" min:"1" max:"100"`
+}
+
 // CallerGroup describes the callers of one availability zone. Their rate is a sine wave
 // around JobsPerS.
 type CallerGroup struct {
--- a/bench/model/worker.go
+++ b/bench/model/worker.go
@@ -31,6 +31,7 @@
 	// total is the run time on a worker of speed 1; remaining is what was left of it at
 	// updatedAt.
 	total, remaining float64
+	kind             string
 	updatedAt        time.Duration
 	failed           bool
 	stopping         bool
@@ -58,8 +59,10 @@
 	life   int
 	born   int64
 	// free is the capacity that no run holds.
-	free      link.Resources
-	runs      map[runID]*workerRun
+	free link.Resources
+	runs map[runID]*workerRun
+	// kinds counts the runs of each kind, if the scenario has interference.
+	kinds     map[string]int
 	highest   map[link.TaskID]uint32
 	ended     []runner.ListedEnd
 	endNumber uint64
@@ -85,7 +88,7 @@
 	w.life++
 	w.alive, w.silent, w.leaving, w.born = true, false, false, w.clock(now)
 	w.free = w.capacity
-	w.runs, w.highest = map[runID]*workerRun{}, map[link.TaskID]uint32{}
+	w.runs, w.kinds, w.highest = map[runID]*workerRun{}, map[string]int{}, map[link.TaskID]uint32{}
 	w.ended, w.endNumber, w.holds, w.leaseUntil, w.leaseChecked = nil, 0, nil, 0, false
 	s.noteWorker(now, w)
 	w.announceEvery(now+callLatency, w.life)
@@ -118,7 +121,7 @@
 	w.sim.noteWorker(now, w)
 }
 
-// rate is the progress per unit of time.
+// rate is the progress per unit of time of a run without interference.
 func (w *worker) rate() float64 {
 	if w.hanging > 0 {
 		return 0
@@ -126,6 +129,29 @@
 	return w.speed / w.slowdown
 }
 
+// runRate is the progress of a run per unit of time.
+func (w *worker) runRate(r *workerRun) float64 {
+	rate := w.rate()
+	for _, i := range w.sim.scenario.Interference {
+		beside := w.kinds[i.Neighbor]
+		if i.Neighbor == r.kind {
+			beside--
+		}
+		if i.Kind == r.kind && beside > 0 {
+			rate /= i.Factor
+		}
+	}
+	return rate
+}
+
+// countKind counts a run that begins or ends, which may change the rate of others.
+func (w *worker) countKind(now time.Duration, kind string, change int) {
+	if len(w.sim.scenario.Interference) == 0 {
+		return
+	}
+	w.changeRuns(now, func() { w.kinds[kind] += change })
+}
+
 func (w *worker) startRun(now time.Duration, c runner.StartCall) runner.StartResult {
 	id := runID{c.Task, c.Attempt}
 	switch {
@@ -147,12 +173,13 @@
 	w.free = w.free.Sub(need)
 	w.leaseUntil = max(w.leaseUntil, c.LeaseUntil)
 	total := float64(j.spec.work[c.Task.Index])
-	r := &workerRun{id: id, need: need, total: total, remaining: total, updatedAt: now}
+	r := &workerRun{id: id, need: need, total: total, remaining: total, kind: j.spec.kind.Name, updatedAt: now}
 	r.failed = w.random.Float64() < w.failureShare || j.spec.alwaysFails || c.Attempt == 1 && j.spec.failsOnce[c.Task.Index]
 	if r.failed {
 		// A task that fails does so before its end.
 		r.remaining *= w.random.Float64()
 	}
+	w.countKind(now, r.kind, 1)
 	w.runs[id] = r
 	w.sim.runStarted(now, j, c)
 	w.scheduleEnd(now, r)
@@ -163,7 +190,7 @@
 // scheduleEnd computes the end of a run from its present rate.
 func (w *worker) scheduleEnd(now time.Duration, r *workerRun) {
 	r.ending++
-	rate := w.rate()
+	rate := w.runRate(r)
 	if rate <= 0 || r.stopping {
 		return
 	}
@@ -177,13 +204,20 @@
 
 // changeRate applies a change of the faults that determine rate.
 func (w *worker) changeRate(now time.Duration, change func()) {
+	w.changeRuns(now, func() {
+		change()
+		w.sim.noteWorker(now, w)
+	})
+}
+
+// changeRuns applies a change of runRate.
+func (w *worker) changeRuns(now time.Duration, change func()) {
 	runs := w.sortedRuns()
 	for _, r := range runs {
-		r.remaining = max(r.remaining-float64(now-r.updatedAt)*w.rate(), 0)
+		r.remaining = max(r.remaining-float64(now-r.updatedAt)*w.runRate(r), 0)
 		r.updatedAt = now
 	}
 	change()
-	w.sim.noteWorker(now, w)
 	for _, r := range runs {
 		w.scheduleEnd(now, r)
 	}
@@ -209,6 +243,7 @@
 		w.ended = slices.Clone(w.ended[len(w.ended)-maxListedEnds/2:])
 	}
 	w.sim.runEnded(now, w, r, outcome)
+	w.countKind(now, r.kind, -1)
 	for _, h := range w.holds {
 		w.answerHold(now, h)
 	}
@@ -258,7 +293,7 @@
 	h.answered = true
 	reply := &runner.RenewReply{Clock: w.clock(now), Born: w.born}
 	for _, r := range w.sortedRuns() {
-		remaining := r.remaining - float64(now-r.updatedAt)*w.rate()
+		remaining := r.remaining - float64(now-r.updatedAt)*w.runRate(r)
 		percent := 100 * (1 - max(remaining, 0)/r.total)
 		reply.Running = append(reply.Running, runner.ListedRun{Task: r.id.task, Attempt: r.id.attempt, Percent: uint8(min(max(percent, 0), 99))})
 	}
