--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -27,7 +27,7 @@
 		slices.SortFunc(s.workersByName, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 		s.byActivation = nil
 	}
-	w.connected, w.reported, w.active, w.activeSince = true, false, true, now
+	w.connected, w.reported, w.zoneReported, w.active, w.activeSince, w.lastAvailable, w.leavesAt = true, false, false, true, now, now, 0
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
@@ -57,6 +57,9 @@
 	if w == nil || !w.connected {
 		return
 	}
+	if w.accepting {
+		w.lastAvailable = now
+	}
 	w.connected = false
 	s.workersChanged()
 	w.unconfirmed = link.Resources{}
@@ -92,6 +95,7 @@
 		delete(s.workers, name)
 		s.workersByName = slices.DeleteFunc(s.workersByName, func(o *worker) bool { return o == w })
 		s.byActivation = nil
+		s.workersChanged()
 	}
 }
 
@@ -104,13 +108,17 @@
 	if r.Worker != nil {
 		w.state = *r.Worker
 		s.replaceUnsentStarts(now, w)
+		s.zoneReported(now, w)
 		s.byActivation = nil
 		s.log(decisions.Info("worker state received", "worker", name, "life", w.state.ID, "service", w.state.Service,
 			"milli_cpu", w.state.Capacity.MilliCPU, "accepting", r.Accepting))
 	} else if w.reported && w.accepting != r.Accepting {
 		s.log(decisions.Info("worker changed whether it accepts tasks", "worker", name, "accepting", r.Accepting))
 	}
-	w.reported, w.accepting, w.free = true, r.Accepting, r.Free
+	if w.accepting && !r.Accepting {
+		w.lastAvailable = now
+	}
+	w.reported, w.accepting, w.free, w.reportedAt = true, r.Accepting, r.Free, now
 	w.speed, w.failureRate = clamp(r.Speed, minSpeed, maxReportedSpeed), clamp(r.FailureRate, 0, 1)
 	s.contentionReported(now, w, r)
 	for i := range r.Answers {
@@ -119,6 +127,7 @@
 	for i := range r.Ends {
 		s.attemptEnded(now, w, &r.Ends[i])
 	}
+	s.noteLeaves(now, w, r)
 	for i := range r.Progress {
 		s.taskProgressed(now, w, &r.Progress[i])
 	}
@@ -151,6 +160,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
+	clear(s.evacuation.runnableUntil)
 	s.placementDue = true
 }
 
@@ -176,10 +186,19 @@
 	switch a.Result {
 	case link.Started:
 		t.job.started = true
-		if t.phase != stopping {
+		t.phaseSince, t.progressHeardAt = now, t.progressAt
+		if !t.confirmed {
+			// The answer to the claim of an attempt that was confirmed before tells nothing
+			// of when it began.
+			t.confirmed, t.startedAt, t.progressAt, t.progressHeardAt = true, now, now, now
+		}
+		switch {
+		case t.phase == lost && t.movesTo != nil:
+			// The stop may have been lost with the connection.
+			s.sendStop(now, t)
+		case t.phase != stopping:
 			t.phase = running
 		}
-		t.phaseSince, t.startedAt, t.progressAt = now, now, now
 	case link.Unknown:
 		// The attempt may be running until its lease expires.
 		t.phase = lost
@@ -222,6 +241,9 @@
 	case link.Failed:
 		s.taskFailed(now, t, w)
 	default:
+		if t.onLeaving && e.Outcome != link.Stopped {
+			s.leaveLosses++
+		}
 		s.log(decisions.Info("attempt ended early", "job", t.id.Job, "task", t.describe(), "worker", w.name, "how", e.Outcome, "ran_ms", e.RanMS))
 		s.requeue(now, t)
 	}
@@ -271,16 +293,16 @@
 		return
 	}
 	t.progressAt = max(t.progressAt, now-time.Duration(p.IdleMS)*time.Millisecond)
-	t.percent = p.Percent
+	t.percent, t.progressHeardAt = p.Percent, now
 	t.remaining = time.Duration(p.RemainingMS) * time.Millisecond
 	s.moveIfLate(now, t)
 }
 
 // moveIfLate stops a task that its worker would finish late, if another worker
 // with free capacity would finish it sooner. A stalled task is assumed to need
-// until after the cutoff.
+// until after the cutoff. On a leaving worker, only reviewLeaving moves tasks.
 func (s *Scheduler) moveIfLate(now time.Duration, t *task) {
-	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 {
+	if t.moves >= maxMoves || now-t.startedAt < stallTimeout/2 || t.worker.leavesAt > 0 {
 		return
 	}
 	remaining := t.remaining
@@ -310,7 +332,17 @@
 	s.log(decisions.Info("task moved", "job", t.id.Job, "task", t.describe(), "from", t.worker.name, "to", other.name,
 		"percent", t.percent, "remaining_ms", remaining.Milliseconds(), "elsewhere_ms", otherRunTime.Milliseconds(),
 		"speed", t.worker.speed, "other_speed", other.speed))
+	s.stopToMove(now, t, other)
+}
+
+// stopToMove stops a running task so that it can start on another worker.
+func (s *Scheduler) stopToMove(now time.Duration, t *task, other *worker) {
 	t.moves++
+	t.movesTo = other
+	s.sendStop(now, t)
+}
+
+func (s *Scheduler) sendStop(now time.Duration, t *task) {
 	t.phase, t.phaseSince = stopping, now
 	c := s.command(t.worker)
 	c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
@@ -323,6 +355,7 @@
 		s.tickJob(now, j)
 	}
 	s.logPairs(s.pairs.Expire(now))
+	s.checkZones(now)
 	s.placementDue = true
 }
 
@@ -349,9 +382,7 @@
 			}
 		case stopping:
 			if now-t.phaseSince >= stopResendInterval {
-				t.phaseSince = now
-				c := s.command(t.worker)
-				c.Stops = append(c.Stops, link.Stop{Task: t.id, Attempt: t.attempt})
+				s.sendStop(now, t)
 			}
 		case ready:
 			waiting = true
@@ -360,6 +391,12 @@
 	if !waiting {
 		return
 	}
+	if j.ranStatus() == api.RanNo {
+		if v := s.refuseEvacuated(now, j); v != nil {
+			s.finish(now, j, v)
+			return
+		}
+	}
 	limit := j.Deadline - answerMargin
 	if !j.started {
 		limit = j.cutoff
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,6 +33,9 @@
 	if now >= j.cutoff {
 		return api.Refuse(api.ReasonDeadlinePast, "the deadline has passed")
 	}
+	if v := s.refuseEvacuated(now, j); v != nil {
+		return v
+	}
 	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) {
 		return s.overloadVerdict(minRetryAfter, "too late to be on time, and jobs that can be need the capacity")
 	}
@@ -125,7 +128,7 @@
 
 // usable reports whether the worker can get tasks of a service at present.
 func (w *worker) usable(service string) bool {
-	return w.connected && w.active && w.reported && w.accepting && w.state.Service == service
+	return w.connected && w.active && w.reported && w.accepting && !w.evacuated && w.state.Service == service
 }
 
 // jobClass says how likely a waiting job is to be on time. Lower classes are
@@ -269,6 +272,9 @@
 			continue
 		}
 		w := s.pickWorker(now, t)
+		if s.onPick != nil {
+			s.onPick(now, t, w)
+		}
 		if w == nil {
 			return placed
 		}
@@ -281,8 +287,8 @@
 // start issues a start of the next attempt of a task at a worker.
 func (s *Scheduler) start(now time.Duration, t *task, w *worker) {
 	t.attempt++
-	t.phase, t.phaseSince, t.worker = starting, now, w
-	t.percent, t.remaining, t.progressAt = 0, -1, now
+	t.phase, t.phaseSince, t.worker, t.confirmed, t.onLeaving = starting, now, w, false, false
+	t.percent, t.remaining, t.progressAt, t.progressHeardAt, t.movesTo = 0, -1, now, now, nil
 	need := t.step().Need
 	w.unconfirmed = w.unconfirmed.Add(need)
 	w.tasks[t.id] = t
@@ -334,6 +340,9 @@
 		if fits && w.failureRate < failingWorkerRate && (slowestFitting.w == nil || runTime > slowestFitting.runTime) {
 			slowestFitting = c
 		}
+		if s.onCandidate != nil {
+			s.onCandidate(t, c)
+		}
 	}
 	if !eligible {
 		s.activateEligible(now, t)
@@ -381,7 +390,7 @@
 // not, on which the task has not failed.
 func (s *Scheduler) hasUntriedWorker(t *task) bool {
 	for _, w := range s.workersByName {
-		if w.connected && w.accepting && w.state.Service == t.job.Service && t.step().permits(w) && !slices.Contains(t.failedOn, w.name) {
+		if w.connected && w.accepting && !w.evacuated && w.state.Service == t.job.Service && t.step().permits(w) && !slices.Contains(t.failedOn, w.name) {
 			return true
 		}
 	}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -83,6 +83,9 @@
 	ConfigTable  string
 	ConfigKey    string
 	DecodeConfig func([]byte) (*routes.Config, error)
+	// EvacuatedZone returns the zone that the row of ConfigTable with a key has evacuated.
+	// ok is false if the row is of another kind, and the zone empty if the key names none.
+	EvacuatedZone func(key string) (zone string, ok bool)
 	// DirectoryAddress is the address at which this entry serves directory.Path to
 	// other entries. Seeds are the addresses of entries to query even if they are
 	// not in the directory.
@@ -126,9 +129,14 @@
 	submissions atomic.Int64
 
 	cache directoryCache
+	// evacuationsMu is held while evacuated zones are put in effect, until the event loop has
+	// been passed them.
+	evacuationsMu sync.Mutex
 	// rejected holds the entries of the directory that can't be used.
 	rejected directory.Rejected
-	metrics  metrics
+	// rejectedEvacuations holds the keys of rows that name no zone.
+	rejectedEvacuations directory.Rejected
+	metrics             metrics
 
 	// The fields below are accessed by the event loop only.
 	scheduler *dispatch.Scheduler
@@ -140,11 +148,9 @@
 	lastWake                        time.Duration
 	stoodStillFrom, stoodStillUntil time.Duration
 	lag                             lagMeter
-	// statsAt is when the state was last recorded for the metrics, and refusedStarts and
-	// pairChanges are the counts that were recorded then.
-	statsAt       time.Duration
-	refusedStarts int64
-	pairChanges   int64
+	// recorded is the state that was last recorded for the metrics, at statsAt.
+	statsAt  time.Duration
+	recorded dispatch.Stats
 }
 
 // event is an event of the event loop. handle gets the time at which it is handled.
@@ -293,8 +299,8 @@
 		return
 	}
 	stats := d.scheduler.Stats()
-	d.metrics.recordStats(stats, stats.RefusedStarts-d.refusedStarts, stats.PairChanges-d.pairChanges, d.lag.mean)
-	d.statsAt, d.refusedStarts, d.pairChanges = now, stats.RefusedStarts, stats.PairChanges
+	d.metrics.recordStats(stats, d.recorded, d.lag.mean)
+	d.statsAt, d.recorded = now, stats
 }
 
 // checkSuspension returns the time, and tells the scheduler if the process was
@@ -363,7 +369,7 @@
 		}
 		d.metrics.starts.Inc(int64(len(c.Starts)))
 		d.metrics.stops.Inc(int64(len(c.Stops)))
-		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive}
+		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker)}
 		if err := packer.Pack(commands); err != nil {
 			// The connection would be out of step with the scheduler; its loss puts the
 			// starts right.
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -66,6 +66,13 @@
 // NewPool returns a Pool without pairs.
 func NewPool() *Pool { return &Pool{pairs: map[Pair]*pooled{}} }
 
+// CountedOnly returns a Pool with a copy of the pairs that count, without the sums.
+func (p *Pool) CountedOnly() *Pool {
+	c := NewPool()
+	c.counted = slices.Clone(p.counted)
+	return c
+}
+
 // Update replaces what an agent has reported of the pairs in a list, and returns the
 // changes that this makes. Sums that no regression can have are ignored.
 func (p *Pool) Update(now time.Duration, source string, list []Summary) []Change {
--- a/link/messages.go
+++ b/link/messages.go
@@ -105,6 +105,9 @@
 	// state with the highest version counts, whichever entry it comes from.
 	Version   uint64
 	Evacuated bool
+	// WorkerRevision is that of the WorkerState with the zone. The agent ignores the state
+	// if its worker has changed since.
+	WorkerRevision uint64
 }
 
 // Demand describes the tasks of an entry that wait for free capacity and can still be on
@@ -196,8 +199,8 @@
 	RanMS int64
 }
 
-// Progress reports the progress of an attempt that will not be done when it is due, or
-// that makes no progress.
+// Progress reports the progress of an attempt that will not be done when it is due, that
+// makes no progress, or whose worker leaves.
 type Progress struct {
 	Task    TaskID
 	Attempt uint32
--- a/runner/state.go
+++ b/runner/state.go
@@ -127,8 +127,9 @@
 	reportedSpeed     float64
 	reportedRevision  uint64
 	// pairsRevision and pairsAt are of the last report of pairs, see reportPairs.
-	pairsRevision uint64
-	pairsAt       time.Duration
+	pairsRevision    uint64
+	pairsAt          time.Duration
+	reportedLeavesAt time.Duration
 	// reportDue requests a report even if pending is nil.
 	reportDue bool
 }
@@ -166,6 +167,8 @@
 	// is used once the worker turns out to be the same instance.
 	restored *Announcement
 	draining bool
+	// leavesAt is until when a draining worker stays at least; 0 when unknown.
+	leavesAt time.Duration
 	// clockOffset is the worker's clock minus the agent's in milliseconds, valid
 	// if clockKnown.
 	clockOffset int64
@@ -192,6 +195,10 @@
 	// reachable is false until the worker answers a renewal, and again when it
 	// stops answering.
 	reachable bool
+	// instanceInDoubt is true while the worker may have restarted without the agent's
+	// knowledge: since doubtSince, until a renewal that was sent later is answered.
+	instanceInDoubt bool
+	doubtSince      time.Duration
 	// renewalsInFlight counts the renewals whose outcome is pending, renewFailures
 	// those that failed since the last answer.
 	renewalsInFlight int
@@ -214,15 +221,20 @@
 	// lastStartAt is when the last start was accepted.
 	lastStartAt time.Duration
 
+	evacuation evacuation
+
 	actions Actions
 }
 
 // New returns the state of an agent that starts at now.
 func New(now time.Duration, o Options) *State {
-	return &State{
+	s := &State{
 		opts: o, startedAt: now, lastEventAt: now, conns: map[ConnID]*entryConn{}, runs: map[runKey]*run{}, recentEnds: map[runKey]recentEnd{}, unansweredStarts: map[runKey]unansweredStart{},
 		speed: newSpeedMeter(), learner: interference.NewLearner(), neighbors: neighbors{at: now},
 	}
+	// A previous process of the agent may just have extended the lease.
+	s.extendLease(now, now+o.Lease)
+	return s
 }
 
 // TakeActions returns the actions that have become due since the last call.
@@ -261,6 +273,16 @@
 // first answer.
 func (s *State) WorkerBorn() int64 { return s.workerBorn }
 
+// StartableBorn is WorkerBorn while start calls may be made to that instance, and 0 while the
+// worker may have restarted unnoticed: a start call names an instance by its ID only, and one
+// that has restarted under its ID may have other labels.
+func (s *State) StartableBorn() int64 {
+	if !s.reachable || s.instanceInDoubt {
+		return 0
+	}
+	return s.workerBorn
+}
+
 // Runs returns the number of runs that hold capacity.
 func (s *State) Runs() int { return len(s.runs) }
 
@@ -272,7 +294,7 @@
 
 // accepting reports whether the worker accepts starts.
 func (s *State) accepting() bool {
-	return !s.draining && s.worker != nil && !s.worker.Draining && s.clockKnown && s.reachable && s.worker.Born == s.workerBorn
+	return !s.draining && s.worker != nil && !s.worker.Draining && s.clockKnown && s.reachable && !s.instanceInDoubt && s.worker.Born == s.workerBorn
 }
 
 func (s *State) freeCapacity() link.Resources {
@@ -366,6 +388,8 @@
 			"draining", a.Draining, "leaves_in_ms", a.Leaves.Milliseconds()))
 	}
 	s.worker = &a
+	s.setZone(a.Zone)
+	s.noteLeaves(now, &a)
 	if !s.reachable {
 		// The worker may be reachable again; check at once.
 		s.nextRenewAt = now
@@ -386,6 +410,7 @@
 		return
 	}
 	s.worker, s.restored = r, nil
+	s.setZone(r.Zone)
 	s.workerRevision++
 	s.log(decisions.Info("stored worker announcement restored", "life", r.ID, "born", r.Born, "milli_cpu", r.Capacity.MilliCPU, "draining", r.Draining))
 }
@@ -406,7 +431,7 @@
 // apart by the new instance's lists.
 func (s *State) workerRestarted(now time.Duration, born int64, how string) {
 	s.log(decisions.Warn("worker has restarted", "how", how, "born", born, "former_born", s.workerBorn, "runs", len(s.runs)))
-	s.workerBorn, s.bornKnownAt, s.lastEndNumber, s.clockKnown, s.worker = born, now, 0, false, nil
+	s.workerBorn, s.bornKnownAt, s.lastEndNumber, s.clockKnown, s.worker, s.leavesAt = born, now, 0, false, nil, 0
 	s.speed, s.lastFailureRate = newSpeedMeter(), 0
 	s.nextRenewAt = now
 	for _, r := range s.runs {
@@ -477,7 +502,7 @@
 	rep := s.pendingReport(conn)
 	rep.ClockMS = now.Milliseconds()
 	rep.Sequence, rep.Accepting, rep.Free = conn.sequence, s.accepting(), s.offeredCapacity(now)
-	rep.Speed, rep.FailureRate = float32(s.speed.speed()), float32(s.failureRate(now))
+	rep.Speed, rep.FailureRate, rep.LeavesMS = float32(s.speed.speed()), float32(s.failureRate(now)), s.leavesMS(now)
 	if w := s.worker; w != nil && s.workerRevision != conn.reportedRevision {
 		rep.Worker = &link.WorkerState{
 			Revision: s.workerRevision, ID: w.ID, Born: w.Born, Service: w.Service, Zone: w.Zone, Capacity: w.Capacity, Labels: w.Labels,
@@ -486,7 +511,7 @@
 	}
 	s.reportPairs(now, conn, rep)
 	conn.reportedAt, conn.reportedFree, conn.reportedAccepting, conn.reportedSpeed = now, rep.Free, rep.Accepting, s.speed.speed()
-	conn.pending, conn.reportDue = nil, false
+	conn.pending, conn.reportDue, conn.reportedLeavesAt = nil, false, s.leavesAt
 	return *rep
 }
 
@@ -506,7 +531,7 @@
 	reportInterval := max(minReportInterval, time.Duration(active)*reportIntervalPerEntry)
 	for _, conn := range s.connsByID {
 		workerChanged := s.worker != nil && s.workerRevision != conn.reportedRevision
-		if workerChanged || accepting != conn.reportedAccepting {
+		if workerChanged || accepting != conn.reportedAccepting || leaveChanged(s.leavesAt, conn.reportedLeavesAt) {
 			conn.reportDue = true
 			continue
 		}
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -115,19 +115,27 @@
 	starts   chan runner.StartCall
 	stops    chan runner.StopCall
 	metrics  metrics
-	// workerBorn is runner.State.WorkerBorn, for the goroutines that make calls.
+	// workerBorn is runner.State.StartableBorn, for the goroutines that make calls.
 	workerBorn atomic.Int64
 
 	// The fields below are owned by the event loop.
 	state      *runner.State
 	conns      map[runner.ConnID]*link.Conn
 	lastConnID runner.ConnID
+	// evacuated and evacuationRefusals are what the metrics of the evacuated zone show.
+	// evacuated is nil before the first update.
+	evacuated          *bool
+	evacuationRefusals int64
 }
 
 type metrics struct {
 	starts, rejected, endReports, renewFailures tally.Counter
 	// commandAge is the time from link.Commands.AsOfMS until the message is handled.
 	commandAge tally.Histogram
+	// evacuated is 1 while the worker's zone is evacuated, evacuationRefusals counts the
+	// starts that were refused for this reason.
+	evacuated          tally.Gauge
+	evacuationRefusals tally.Counter
 }
 
 // New opens the listener for entries. Call Run to start the agent.
@@ -146,6 +154,7 @@
 		metrics: metrics{
 			starts: o.Metrics.Counter("run_starts_total"), rejected: o.Metrics.Counter("run_starts_rejected_total"),
 			endReports: o.Metrics.Counter("run_reports_total"), renewFailures: o.Metrics.Counter("lease_renewals_failed_total"),
+			evacuated: o.Metrics.Gauge("zone_evacuated"), evacuationRefusals: o.Metrics.Counter("run_starts_refused_evacuated_total"),
 			commandAge: o.Metrics.Histogram("command_age_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 10)),
 		},
 	}, nil
@@ -221,12 +230,13 @@
 func (a *Agent) performActions() {
 	now := clock.SinceBoot()
 	out := a.state.TakeActions(now)
-	a.workerBorn.Store(a.state.WorkerBorn())
+	a.workerBorn.Store(a.state.StartableBorn())
+	a.recordEvacuation()
 	for _, c := range out.Starts {
 		select {
 		case a.starts <- c:
 		default:
-			a.state.StartDone(now, c, runner.StartNotSent, 0)
+			a.state.StartDone(now, c, runner.StartNotCalled, 0)
 		}
 	}
 	for _, c := range out.Stops {
@@ -260,6 +270,25 @@
 	a.opts.Log.Add(out.LogLines...)
 }
 
+// recordEvacuation updates the metrics of the evacuated zone if they have changed.
+func (a *Agent) recordEvacuation() {
+	evacuated, refusals := a.state.Evacuated()
+	if refusals != a.evacuationRefusals {
+		a.metrics.evacuationRefusals.Inc(refusals - a.evacuationRefusals)
+		a.evacuationRefusals = refusals
+	}
+	if a.evacuated != nil && *a.evacuated == evacuated {
+		return
+	}
+	shown := evacuated
+	a.evacuated = &shown
+	value := 0.0
+	if evacuated {
+		value = 1
+	}
+	a.metrics.evacuated.Update(value)
+}
+
 // enqueue passes an event to the event loop. It returns false if the event loop
 // has ended.
 func (a *Agent) enqueue(f func(now time.Duration)) bool {
@@ -318,25 +347,32 @@
 	}
 }
 
-// startWithRetries repeats a start call that has no answer, as long as the worker is the
-// instance that the call is for, and the lease in the call has not expired. The rejection
-// of a repeated call counts as no answer, since it doesn't tell the outcome of the first
-// one: its run may have ended already, or may still start. unanswered reports whether an
-// attempt had no answer.
+// startWithRetries repeats a start call that has no answer, as long as the worker is known to
+// be the instance that the call is for, and the lease in the call has not expired. After a
+// pause of runner.MaxEventGap, also before the first call, the worker may have restarted
+// unnoticed. The rejection of a repeated call counts as no answer, since it doesn't tell the
+// outcome of the first one: its run may have ended already, or may still start. unanswered
+// reports whether an attempt had no answer.
 func (a *Agent) startWithRetries(ctx context.Context, c runner.StartCall) (result runner.StartResult, workerClock int64, unanswered bool) {
-	result = runner.StartNotSent
+	result = runner.StartNotCalled
+	if clock.SinceBoot()-c.CreatedAt >= runner.MaxEventGap {
+		return result, 0, false
+	}
 	for n := 0; n < maxCallAttempts && a.workerBorn.Load() == c.WorkerBorn && clock.SinceBoot() < c.ExpiresAt; n++ {
-		calledAt := time.Now()
+		calledAt, began := time.Now(), clock.SinceBoot()
 		answer, clockOfAnswer := a.opts.Worker.Start(ctx, c)
 		switch {
 		case answer == runner.StartOK:
 			return answer, clockOfAnswer, unanswered
 		case answer == runner.StartUnanswered:
 			result, unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotSent:
+		case result == runner.StartNotCalled:
 			return answer, clockOfAnswer, false
 		}
 		waitForRetry(calledAt)
+		if clock.SinceBoot()-began >= runner.MaxEventGap {
+			break
+		}
 	}
 	return result, 0, unanswered
 }
