dispatch: Don't let contention make a task late

A worker with room and in time was passed over for one that was too slow, and the task then waited for a fast one to become free.

--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// Load pattern: the worker that keeps kinds apart is too slow, the only one in time runs
+// tasks of the other kind, and a further fast one is full. Guards against a task that waits
+// for the full one, or is late, although there is room in time.
+func TestKindsAreNotKeptApartAtThePriceOfLateness(t *testing.T) {
+	for _, p := range []link.Pair{pair("other", "queue", 2), pair("queue", "other", 3)} {
+		h := newHarness(t)
+		h.addWorker("fast", 8, 1.2)
+		h.addWorker("busy", 8, 1.2)
+		h.addWorker("slow", 8, 0.55)
+		h.report("fast", 6, 1.2, &link.Report{Running: []link.KindCount{{Kind: "other", Count: 2}}})
+		h.report("busy", 0, 1.2, &link.Report{})
+		h.report("slow", 8, 0.55, &link.Report{Pairs: []link.Pair{p}})
+		j := h.newJob("j", 1, 100*ms)
+		j.LatencyFactor, j.LatencyAllowance = 1, 20*ms
+		e := h.s.Explain(h.now, j)
+		h.Check(e.Tasks[0].Rule, qt.Equals, "lowest cost of those in time, with no regard to kinds that slow each other down")
+		h.mustAccept(j)
+		h.Check(h.takeStarts()["fast"], qt.HasLen, 1)
+	}
+}
+
 // Guards against a log line with each report, and against a pair that nobody is told of.
 func TestChangesOfPairsAreLogged(t *testing.T) {
 	h := newHarness(t)
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -313,8 +313,11 @@
 		}
 		view.Excluded[cmp.Or(r.excluded, "higher cost")]++
 	}
+	cheaper := slices.IndexFunc(all, func(r ranked) bool { return r.excluded == "" && r.cost < all[0].cost })
 	switch {
-	case chosen != nil && slices.ContainsFunc(all, func(r ranked) bool { return r.excluded == "" && r.cost < all[0].cost }):
+	case chosen != nil && cheaper >= 0 && s.keepsApart(t.job.Service) && s.predictRunTime(t, all[cheaper].w) > t.job.dueAt-now:
+		view.Rule = "lowest cost of those in time, with no regard to kinds that slow each other down"
+	case chosen != nil && cheaper >= 0:
 		view.Rule = "slowest worker in time, since little capacity is free"
 	case chosen != nil:
 		view.Rule = "lowest cost"
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -309,7 +309,8 @@
 // pickWorker chooses the worker for a task. It returns nil if no eligible worker
 // has free capacity, or if it is better to wait for a faster one.
 func (s *Scheduler) pickWorker(now time.Duration, t *task) *worker {
-	var best, slowestFitting candidate
+	// plain has the lowest cost apart from contention.
+	var best, plain, slowestFitting candidate
 	var total, free int64
 	fastestBusy := time.Duration(math.MaxInt64)
 	eligible := false
@@ -330,6 +331,9 @@
 			continue
 		}
 		c := candidate{w, runTime, s.cost(t, w, runTime)}
+		if plain.w == nil || c.cost < plain.cost {
+			plain = c
+		}
 		if keepApart {
 			c.cost *= s.contention(t, w)
 		}
@@ -347,6 +351,10 @@
 	if !eligible {
 		s.activateEligible(now, t)
 	}
+	if best.runTime > timeLeft && plain.runTime <= timeLeft {
+		// A slowdown costs less than to be late for certain, or to wait for another worker.
+		best = plain
+	}
 	switch {
 	case best.w == nil:
 		return nil
