--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -211,6 +211,25 @@
 	}
 }
 
+// Guards against a pair that ceases after the pool's retention because its sums don't change
+// any more and so aren't reported.
+func TestSteadyPairStays(t *testing.T) {
+	c := qt.New(t)
+	l, p := NewLearner(), NewPool()
+	revision, lists := uint64(0), 0
+	for now := time.Duration(0); now < time.Hour; now += time.Second {
+		observeAlternately(l, now, now+time.Second, 2)
+		var list []Summary
+		if list, revision = l.Summaries(revision); len(list) > 0 {
+			lists++
+		}
+		p.Update(now, "w", list)
+		p.Expire(now)
+		c.Assert(now < 5*time.Minute || p.Counting() == 1, qt.IsTrue, qt.Commentf("%v", now))
+	}
+	c.Check(lists < 100, qt.IsTrue, qt.Commentf("%d lists", lists))
+}
+
 // observeApart feeds a learner with runs of two kinds that have no neighbors.
 func observeApart(l *Learner, kinds ...string) {
 	random := rand.New(rand.NewPCG(2, 1))
--- a/interference/learner.go
+++ b/interference/learner.go
@@ -39,6 +39,9 @@
 	// minEffectChange that of the effect.
 	minChange       = 0.1
 	minEffectChange = 0.05
+	// refreshInterval is the time after which unchanged sums are reported again. With a
+	// third of the retention, two lost reports don't end a pair.
+	refreshInterval = summaryRetention / 3
 )
 
 // Run is a completed run.
@@ -74,7 +77,8 @@
 	fresh          regression
 	agedAt         time.Duration
 	reported       Sums
-	// revision is the Learner.revision at which reported changed last.
+	reportedAt     time.Duration
+	// revision is the Learner.revision at which reported was last set.
 	revision uint64
 }
 
@@ -214,9 +218,9 @@
 		if !sums.valid() || sums.Freedom < minReportedFreedom && p.reported == (Sums{}) {
 			continue
 		}
-		if math.Abs(sums.XX-p.reported.XX) > minChange*p.reported.XX || math.Abs(sums.effect()-p.reported.effect()) > minEffectChange {
+		if math.Abs(sums.XX-p.reported.XX) > minChange*p.reported.XX || math.Abs(sums.effect()-p.reported.effect()) > minEffectChange || now-p.reportedAt >= refreshInterval {
 			l.revision++
-			p.reported, p.revision = sums, l.revision
+			p.reported, p.reportedAt, p.revision = sums, now, l.revision
 		}
 	}
 }
@@ -240,7 +244,7 @@
 	l.suspects = append(l.suspects, &suspect{kind: kind, neighbor: neighbor, agedAt: now})
 }
 
-// Summaries returns the pairs whose sums have changed after the given revision, and the
+// Summaries returns the pairs that are to be reported since the given revision, and the
 // revision to ask with next time.
 func (l *Learner) Summaries(after uint64) ([]Summary, uint64) {
 	var out []Summary
