--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -15,7 +15,12 @@
 // contentionReported applies what a report says of kinds of tasks that slow each other
 // down.
 func (s *Scheduler) contentionReported(now time.Duration, w *worker, r *link.Report) {
-	w.running = r.Running
+	w.running = nil
+	for _, k := range r.Running[:min(len(r.Running), interference.MaxKinds)] {
+		if len(k.Kind) <= interference.MaxKindLength {
+			w.running = append(w.running, k)
+		}
+	}
 	if len(r.Pairs) == 0 {
 		return
 	}
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -291,6 +291,51 @@
 	c.Assert(sources <= 890*MaxSuspects, qt.IsTrue)
 }
 
+// Guards against a factor that is infinite or not a number, from an agent that reports sums
+// which no run times give.
+func TestImpossibleSumsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool()
+	ab := Pair{"a", "b"}
+	for _, s := range []Summary{
+		{ab, Sums{XX: 1e-3, XY: 1e8, Residual: 1, Freedom: 1e6}},
+		{ab, Sums{XX: 1e6, XY: 1e6, Residual: 1, Freedom: 100}},
+		{ab, Sums{XX: 100, XY: -300, Residual: 1, Freedom: 1000}},
+		{Pair{"", "b"}, Sums{XX: 100, XY: 100, Freedom: 1000}},
+		{Pair{"a", ""}, Sums{XX: 100, XY: 100, Freedom: 1000}},
+	} {
+		c.Check(p.Update(0, "w", []Summary{s}), qt.HasLen, 0, qt.Commentf("%v", s))
+		c.Check(p.Pairs(), qt.Equals, 0, qt.Commentf("%v", s))
+	}
+	changes := p.Update(0, "w", []Summary{{ab, Sums{XX: 100, XY: 220, Freedom: 1000}}})
+	c.Assert(changes, qt.HasLen, 1)
+	c.Check(changes[0].Factor, qt.Equals, float64(maxFactor))
+	c.Check(p.Factor("a", "b"), qt.Equals, float64(maxFactor))
+	c.Check(Sums{XX: -1, XY: 1}.Factor() < 10, qt.IsTrue)
+}
+
+// Guards against an agent that fills the pool with ever new pairs, so that those of other
+// agents have no place or are lost.
+func TestOneSourceDoesNotFillThePool(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool()
+	certain := Sums{XX: 100, XY: 100, Residual: 10, Freedom: 1000}
+	p.Update(0, "other", []Summary{{Pair{"a", "b"}, certain}})
+	for i := range 1000 {
+		p.Update(time.Duration(i), "w", []Summary{{Pair{"x", fmt.Sprint(i)}, certain}})
+	}
+	c.Check(p.Pairs(), qt.Equals, 1+MaxSuspects)
+	c.Check(p.Counting(), qt.Equals, 1+MaxSuspects)
+	c.Check(p.Factor("x", "999") > 1, qt.IsTrue)
+	for i := range 1000 {
+		p.Update(time.Second+time.Duration(i), fmt.Sprint(i), []Summary{{Pair{"y", fmt.Sprint(i)}, Sums{XX: 1, Freedom: 1}}})
+	}
+	c.Check(p.Pairs(), qt.Equals, maxPairs)
+	c.Check(p.Counting(), qt.Equals, 1+MaxSuspects)
+	c.Check(p.pairs[Pair{"y", "999"}], qt.IsNotNil)
+	c.Check(p.pairs[Pair{"y", "0"}], qt.IsNil)
+}
+
 // The search for suspected pairs with as many kinds as an agent keeps, once a second.
 func BenchmarkReview(b *testing.B) {
 	l := NewLearner()
--- a/interference/learner.go
+++ b/interference/learner.go
@@ -12,8 +12,8 @@
 	MaxKinds = 16
 	// MaxSuspects is the number of suspected pairs that an agent keeps.
 	MaxSuspects = 16
-	// maxKindLength bounds the names that are kept, in bytes.
-	maxKindLength = 64
+	// MaxKindLength bounds the names that are kept, in bytes.
+	MaxKindLength = 64
 	// kindRetention is how long a kind without a run is kept.
 	kindRetention = 10 * time.Minute
 	// memoryRuns and memoryTime are the constants of the exponential aging, in runs of
@@ -102,7 +102,7 @@
 
 // Observe adds a completed run.
 func (l *Learner) Observe(now time.Duration, r *Run) {
-	if r.Kind == "" || len(r.Kind) > maxKindLength || r.Declared <= 0 || r.Measured <= 0 || r.Speed <= 0 || slices.Contains(l.groups, r.Group) {
+	if r.Kind == "" || len(r.Kind) > MaxKindLength || r.Declared <= 0 || r.Measured <= 0 || r.Speed <= 0 || slices.Contains(l.groups, r.Group) {
 		return
 	}
 	if r.Group != "" {
@@ -125,7 +125,7 @@
 	x[valueColumn] = min(max(value, s.center-maxLogDeviation), s.center+maxLogDeviation)
 	// Sorted, so that the places of kinds don't depend on the order of a map.
 	for _, name := range slices.Sorted(maps.Keys(r.Presence)) {
-		if share := r.Presence[name]; share > 0 && name != "" && len(name) <= maxKindLength {
+		if share := r.Presence[name]; share > 0 && name != "" && len(name) <= MaxKindLength {
 			x[firstNeighbor+l.slotOf(now, name)] = min(share, 1)
 		}
 	}
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxPairs is the number of pairs that an entry keeps; further ones are ignored.
+	// maxPairs is the number of pairs that an entry keeps.
 	maxPairs = 256
 	// countConfidence and countFactor are what a pair needs in order to begin to count,
 	// ceaseConfidence and ceaseFactor below what it ceases to. The gap keeps a pair from
@@ -33,9 +33,10 @@
 
 // pooled is a pair with the sums of all agents.
 type pooled struct {
-	total   Sums
-	sources map[string]sourceSums
-	counts  bool
+	total     Sums
+	sources   map[string]sourceSums
+	counts    bool
+	updatedAt time.Duration
 }
 
 // Change says that a pair begins or ceases to count.
@@ -81,24 +82,90 @@
 	}
 	var changes []Change
 	for _, s := range list {
-		q := p.pairs[s.Pair]
-		if !s.valid() || len(s.Kind) > maxKindLength || len(s.Neighbor) > maxKindLength || q == nil && len(p.pairs) >= maxPairs {
+		if !s.valid() || !validKind(s.Kind) || !validKind(s.Neighbor) {
 			continue
 		}
+		q := p.pairs[s.Pair]
 		if q == nil {
+			if len(p.pairs) >= maxPairs && !p.evict() {
+				continue
+			}
 			q = &pooled{sources: map[string]sourceSums{}}
 			p.pairs[s.Pair] = q
 		}
 		q.total = q.total.sub(q.sources[source].sums).add(s.Sums)
 		q.sources[source] = sourceSums{s.Sums, now}
+		q.updatedAt = now
 		changes = p.judge(changes, s.Pair, q)
+		changes = p.limitSource(changes, source, s.Pair)
+	}
+	return changes
+}
+
+func validKind(kind string) bool { return kind != "" && len(kind) <= MaxKindLength }
+
+// evict drops the pair that doesn't count and was updated longest ago. It reports whether
+// there was one.
+func (p *Pool) evict() bool {
+	var oldest Pair
+	found := false
+	for pair, q := range p.pairs {
+		if q.counts {
+			continue
+		}
+		if !found || cmp.Or(cmp.Compare(q.updatedAt, p.pairs[oldest].updatedAt), comparePairs(pair, oldest)) < 0 {
+			oldest, found = pair, true
+		}
+	}
+	delete(p.pairs, oldest)
+	return found
+}
+
+// limitSource drops the oldest sums of a source other than those of the pair latest, if it
+// has more than an agent keeps.
+func (p *Pool) limitSource(changes []Change, source string, latest Pair) []Change {
+	var oldest Pair
+	var oldestAt time.Duration
+	count := 0
+	for pair, q := range p.pairs {
+		s, ok := q.sources[source]
+		if !ok {
+			continue
+		}
+		count++
+		if pair == latest {
+			continue
+		}
+		if oldest == (Pair{}) || cmp.Or(cmp.Compare(s.at, oldestAt), comparePairs(pair, oldest)) < 0 {
+			oldest, oldestAt = pair, s.at
+		}
+	}
+	if count <= MaxSuspects {
+		return changes
+	}
+	q := p.pairs[oldest]
+	delete(q.sources, source)
+	return p.sumUp(changes, oldest, q)
+}
+
+// sumUp adds the sums of a pair up anew after some were dropped, and drops the pair if none
+// are left. The order is fixed, so that rounding errors don't accumulate or depend on the
+// order of a map.
+func (p *Pool) sumUp(changes []Change, pair Pair, q *pooled) []Change {
+	q.total = Sums{}
+	for _, name := range slices.Sorted(maps.Keys(q.sources)) {
+		q.total = q.total.add(q.sources[name].sums)
+	}
+	changes = p.judge(changes, pair, q)
+	if len(q.sources) == 0 {
+		delete(p.pairs, pair)
 	}
 	return changes
 }
 
 // judge decides whether a pair counts.
 func (p *Pool) judge(changes []Change, pair Pair, q *pooled) []Change {
-	factor, confidence := q.total.Factor(), q.total.Confidence(len(p.pairs))
+	factor, confidence := min(q.total.Factor(), maxFactor), q.total.Confidence(len(p.pairs))
 	counts := confidence >= countConfidence && factor >= countFactor
 	if q.counts {
 		counts = confidence >= ceaseConfidence && factor >= ceaseFactor
@@ -106,9 +173,9 @@
 	at, found := slices.BinarySearchFunc(p.counted, pair, func(c Counted, pair Pair) int { return comparePairs(c.Pair, pair) })
 	switch {
 	case counts && found:
-		p.counted[at].Factor = min(factor, maxFactor)
+		p.counted[at].Factor = factor
 	case counts:
-		p.counted = slices.Insert(p.counted, at, Counted{pair, min(factor, maxFactor)})
+		p.counted = slices.Insert(p.counted, at, Counted{pair, factor})
 	case found:
 		p.counted = slices.Delete(p.counted, at, at+1)
 	}
@@ -134,16 +201,7 @@
 		if len(q.sources) == before {
 			continue
 		}
-		// Added up anew in a fixed order, so that rounding errors don't accumulate or
-		// depend on the order of a map.
-		q.total = Sums{}
-		for _, name := range slices.Sorted(maps.Keys(q.sources)) {
-			q.total = q.total.add(q.sources[name].sums)
-		}
-		changes = p.judge(changes, pair, q)
-		if len(q.sources) == 0 {
-			delete(p.pairs, pair)
-		}
+		changes = p.sumUp(changes, pair, q)
 	}
 	return changes
 }
--- a/interference/sums.go
+++ b/interference/sums.go
@@ -27,10 +27,19 @@
 	Residual, Freedom float64
 }
 
-// valid reports whether s can come from a regression.
+// maxEffect bounds effects: log ratios are limited to this range.
+const maxEffect = 2 * maxLogDeviation
+
+// valid reports whether s can come from a Learner.
 func (s Sums) valid() bool {
-	const limit = 1e9
-	return s.XX >= 0 && s.XX < limit && math.Abs(s.XY) < limit && s.Residual >= 0 && s.Residual < limit && s.Freedom >= 0 && s.Freedom < limit
+	const (
+		limit = 1e9
+		// rounding is the share and the amount by which sums may exceed a bound, since
+		// they are sent with 24 bits.
+		rounding = 1e-6
+	)
+	return s.XX >= 0 && s.Residual >= 0 && s.Residual < limit && s.Freedom >= 0 && s.Freedom < limit &&
+		s.XX <= (s.Freedom+columns)*(1+rounding) && math.Abs(s.XY) <= maxEffect*s.XX*(1+rounding)+rounding
 }
 
 func (s Sums) add(o Sums) Sums {
@@ -43,7 +52,7 @@
 
 // effect is the logarithm of the slowdown factor, drawn towards 0 when there is little
 // data.
-func (s Sums) effect() float64 { return s.XY / (s.XX + 1) }
+func (s Sums) effect() float64 { return min(max(s.XY/(s.XX+1), -maxEffect), maxEffect) }
 
 // Factor is the estimated slowdown factor.
 func (s Sums) Factor() float64 { return math.Exp(s.effect()) }
