--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -31,7 +31,20 @@
 			Sums: interference.Sums{XX: float64(p.XX), XY: float64(p.XY), Residual: float64(p.Residual), Freedom: float64(p.Freedom)},
 		})
 	}
-	s.logPairs(s.pairs.Update(now, w.name, list))
+	s.logPairs(s.pairs.Update(now, w.name, s.agentsLike(w), list))
+}
+
+// agentsLike counts the connected agents of a worker's service, up to 2.
+func (s *Scheduler) agentsLike(w *worker) int {
+	n := 0
+	for _, other := range s.workersByName {
+		if other.connected && other.state.Service == w.state.Service {
+			if n++; n == 2 {
+				break
+			}
+		}
+	}
+	return n
 }
 
 // logPairs logs which pairs begin or cease to count.
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -39,7 +39,7 @@
 			h := newHarness(t)
 			h.addWorker("w1", 8, 1.1)
 			h.addWorker("w2", 8, 0.8)
-			h.report("w1", tc.free1, 1.1, &link.Report{Running: []link.KindCount{{Kind: "other", Count: 2}}})
+			h.report("w1", tc.free1, 1.1, &link.Report{Running: []link.KindCount{{Kind: "other", Count: 2}}, Pairs: []link.Pair{tc.pair}})
 			h.report("w2", tc.free2, 0.8, &link.Report{Pairs: []link.Pair{tc.pair}})
 			// Due so soon that the task doesn't go to the slowest worker that is fast enough.
 			j := h.newJob("j", 1, 100*ms)
@@ -60,7 +60,7 @@
 		h.addWorker("busy", 8, 1.2)
 		h.addWorker("slow", 8, 0.55)
 		h.report("fast", 6, 1.2, &link.Report{Running: []link.KindCount{{Kind: "other", Count: 2}}})
-		h.report("busy", 0, 1.2, &link.Report{})
+		h.report("busy", 0, 1.2, &link.Report{Pairs: []link.Pair{p}})
 		h.report("slow", 8, 0.55, &link.Report{Pairs: []link.Pair{p}})
 		j := h.newJob("j", 1, 100*ms)
 		j.LatencyFactor, j.LatencyAllowance = 1, 20*ms
@@ -148,6 +148,7 @@
 				r.Pairs = append(r.Pairs, pair("queue", fmt.Sprint("q", i), 2))
 			}
 			h.report("w0", 8, 1, r)
+			h.report("w1", 8, 1, r)
 			t := newJob(h.newJob("j", 1, 100*ms)).tasks[0]
 			for b.Loop() {
 				h.s.pickWorker(0, t)
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -63,7 +63,7 @@
 			s.learners[w].Review(s.now)
 			list, revision := s.learners[w].Summaries(s.sent[w])
 			s.sent[w] = revision
-			for _, c := range s.pool.Update(s.now, fmt.Sprint(w), list) {
+			for _, c := range s.pool.Update(s.now, fmt.Sprint(w), len(s.runs), list) {
 				if c.Counts {
 					s.began = append(s.began, c)
 				}
@@ -196,11 +196,11 @@
 			l, p := NewLearner(), NewPool()
 			observeAlternately(l, 0, time.Minute, 2)
 			list, revision := l.Summaries(0)
-			c.Assert(p.Update(time.Minute, "w", list), qt.HasLen, 1)
+			c.Assert(p.Update(time.Minute, "w", 1, list), qt.HasLen, 1)
 			c.Assert(p.Factor("a", "b") > 1.5, qt.IsTrue)
 			tc.next(l)
 			list, _ = l.Summaries(revision)
-			p.Update(time.Hour, "w", list)
+			p.Update(time.Hour, "w", 1, list)
 			if tc.gone {
 				c.Assert(list, qt.HasLen, 0)
 				p.Expire(time.Hour)
@@ -223,7 +223,7 @@
 		if list, revision = l.Summaries(revision); len(list) > 0 {
 			lists++
 		}
-		p.Update(now, "w", list)
+		p.Update(now, "w", 1, list)
 		p.Expire(now)
 		c.Assert(now < 5*time.Minute || p.Counting() == 1, qt.IsTrue, qt.Commentf("%v", now))
 	}
@@ -257,7 +257,7 @@
 		factor float64
 		counts bool
 	}{{1.1, false}, {1.2, true}, {1.1, true}, {1.07, false}, {1.1, false}} {
-		p.Update(0, "w", []Summary{{Pair{"a", "b"}, Sums{XX: 1000, XY: 1001 * math.Log(tc.factor), Residual: 40, Freedom: 4000}}})
+		p.Update(0, "w", 1, []Summary{{Pair{"a", "b"}, Sums{XX: 1000, XY: 1001 * math.Log(tc.factor), Residual: 40, Freedom: 4000}}})
 		c.Check(p.Counting() == 1, qt.Equals, tc.counts, qt.Commentf("%v", tc.factor))
 	}
 }
@@ -280,7 +280,7 @@
 			list = append(list, Summary{Pair{fmt.Sprint(w % 120), fmt.Sprint(i)}, Sums{XX: 1, Freedom: 1}})
 		}
 		list[0].XY, list[1].XX, list[2].Residual = math.NaN(), math.Inf(1), -1
-		p.Update(0, fmt.Sprint(w), list)
+		p.Update(0, fmt.Sprint(w), 1, list)
 	}
 	c.Assert(p.Pairs(), qt.Equals, maxPairs)
 	sources := 0
@@ -304,10 +304,10 @@
 		{Pair{"", "b"}, Sums{XX: 100, XY: 100, Freedom: 1000}},
 		{Pair{"a", ""}, Sums{XX: 100, XY: 100, Freedom: 1000}},
 	} {
-		c.Check(p.Update(0, "w", []Summary{s}), qt.HasLen, 0, qt.Commentf("%v", s))
+		c.Check(p.Update(0, "w", 1, []Summary{s}), qt.HasLen, 0, qt.Commentf("%v", s))
 		c.Check(p.Pairs(), qt.Equals, 0, qt.Commentf("%v", s))
 	}
-	changes := p.Update(0, "w", []Summary{{ab, Sums{XX: 100, XY: 220, Freedom: 1000}}})
+	changes := p.Update(0, "w", 1, []Summary{{ab, Sums{XX: 100, XY: 220, Freedom: 1000}}})
 	c.Assert(changes, qt.HasLen, 1)
 	c.Check(changes[0].Factor, qt.Equals, float64(maxFactor))
 	c.Check(p.Factor("a", "b"), qt.Equals, float64(maxFactor))
@@ -320,15 +320,15 @@
 	c := qt.New(t)
 	p := NewPool()
 	certain := Sums{XX: 100, XY: 100, Residual: 10, Freedom: 1000}
-	p.Update(0, "other", []Summary{{Pair{"a", "b"}, certain}})
+	p.Update(0, "other", 1, []Summary{{Pair{"a", "b"}, certain}})
 	for i := range 1000 {
-		p.Update(time.Duration(i), "w", []Summary{{Pair{"x", fmt.Sprint(i)}, certain}})
+		p.Update(time.Duration(i), "w", 1, []Summary{{Pair{"x", fmt.Sprint(i)}, certain}})
 	}
 	c.Check(p.Pairs(), qt.Equals, 1+MaxSuspects)
 	c.Check(p.Counting(), qt.Equals, 1+MaxSuspects)
 	c.Check(p.Factor("x", "999") > 1, qt.IsTrue)
 	for i := range 1000 {
-		p.Update(time.Second+time.Duration(i), fmt.Sprint(i), []Summary{{Pair{"y", fmt.Sprint(i)}, Sums{XX: 1, Freedom: 1}}})
+		p.Update(time.Second+time.Duration(i), fmt.Sprint(i), 1, []Summary{{Pair{"y", fmt.Sprint(i)}, Sums{XX: 1, Freedom: 1}}})
 	}
 	c.Check(p.Pairs(), qt.Equals, maxPairs)
 	c.Check(p.Counting(), qt.Equals, 1+MaxSuspects)
@@ -336,6 +336,23 @@
 	c.Check(p.pairs[Pair{"y", "0"}], qt.IsNil)
 }
 
+// Guards against placement that one agent decides where there are others, be it faulty or
+// on a worker that isn't like them, and against pairs that can't be found where there is
+// only one.
+func TestPairNeedsTwoAgents(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool()
+	list := []Summary{{Pair{"a", "b"}, Sums{XX: 100, XY: 100, Residual: 10, Freedom: 1000}}}
+	p.Update(0, "w1", 1, list)
+	c.Check(p.Counting(), qt.Equals, 1)
+	p.Update(time.Minute, "w1", 2, list)
+	c.Check(p.Counting(), qt.Equals, 0)
+	p.Update(2*time.Minute, "w2", 2, list)
+	c.Check(p.Counting(), qt.Equals, 1)
+	p.Expire(time.Minute + summaryRetention + 1)
+	c.Check(p.Counting(), qt.Equals, 0)
+}
+
 // The search for suspected pairs with as many kinds as an agent keeps, once a second.
 func BenchmarkReview(b *testing.B) {
 	l := NewLearner()
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -23,6 +23,9 @@
 	summaryRetention = 10 * time.Minute
 	// expiryInterval is the time between two searches for outdated sums.
 	expiryInterval = 10 * time.Second
+	// minSources is the number of agents that a pair needs in order to count, where there
+	// are as many, so that a single one doesn't decide.
+	minSources = 2
 )
 
 // sourceSums are the latest sums of a pair from one agent.
@@ -37,6 +40,8 @@
 	sources   map[string]sourceSums
 	counts    bool
 	updatedAt time.Duration
+	// agents is the number of agents that could report the pair at the last update.
+	agents int
 }
 
 // Change says that a pair begins or ceases to count.
@@ -75,8 +80,9 @@
 }
 
 // Update replaces what an agent has reported of the pairs in a list, and returns the
-// changes that this makes. Sums that no regression can have are ignored.
-func (p *Pool) Update(now time.Duration, source string, list []Summary) []Change {
+// changes that this makes. Sums that no regression can have are ignored. agents is the number of agents that
+// may report the same pairs; above minSources it makes no difference.
+func (p *Pool) Update(now time.Duration, source string, agents int, list []Summary) []Change {
 	if len(list) > MaxSuspects {
 		list = list[:MaxSuspects]
 	}
@@ -95,7 +101,7 @@
 		}
 		q.total = q.total.sub(q.sources[source].sums).add(s.Sums)
 		q.sources[source] = sourceSums{s.Sums, now}
-		q.updatedAt = now
+		q.updatedAt, q.agents = now, agents
 		changes = p.judge(changes, s.Pair, q)
 		changes = p.limitSource(changes, source, s.Pair)
 	}
@@ -170,6 +176,7 @@
 	if q.counts {
 		counts = confidence >= ceaseConfidence && factor >= ceaseFactor
 	}
+	counts = counts && len(q.sources) >= min(minSources, q.agents)
 	at, found := slices.BinarySearchFunc(p.counted, pair, func(c Counted, pair Pair) int { return comparePairs(c.Pair, pair) })
 	switch {
 	case counts && found:
