Merge the separation of kinds of task that slow each other down

Agents learn by kind and neighboring kind how much longer tasks take than declared, and entries place kinds apart where there is room once a pair is certain.

--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -264,13 +265,14 @@
 // although the events of the test above don't set it.
 func TestSnapshotKnowsAllReferences(t *testing.T) {
 	known := map[reflect.Type]string{
-		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending maxSpeeds evacuation onCandidate onPick",
-		reflect.TypeFor[worker]():    "state tasks",
+		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation onCandidate onPick",
+		reflect.TypeFor[worker]():    "state tasks running",
 		reflect.TypeFor[job]():       "Job tasks unfinished",
 		// The steps and the spec of a job don't change.
-		reflect.TypeFor[Job]():        "Steps",
-		reflect.TypeFor[task]():       "job worker failedOn movesTo",
-		reflect.TypeFor[evacuation](): "since unchecked runnableUntil",
+		reflect.TypeFor[Job]():               "Steps",
+		reflect.TypeFor[task]():              "job worker failedOn movesTo",
+		reflect.TypeFor[evacuation]():        "since unchecked runnableUntil",
+		reflect.TypeFor[interference.Pool](): "pairs counted",
 		// Labels don't change; a report brings new ones.
 		reflect.TypeFor[link.WorkerState](): "Labels",
 		reflect.TypeFor[Command]():          "Starts Stops Claims",
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -295,7 +295,7 @@
 	c := s.command(w)
 	c.Starts = append(c.Starts, link.Start{
 		Task: t.id, Attempt: t.attempt, Need: need, EstimateMS: t.step().Estimate.Milliseconds(),
-		DueMS: (t.job.dueAt - now).Milliseconds(), Spec: t.job.Spec, WorkerRevision: w.state.Revision,
+		DueMS: (t.job.dueAt - now).Milliseconds(), Kind: t.job.Queue, Spec: t.job.Spec, WorkerRevision: w.state.Revision,
 	})
 }
 
@@ -309,12 +309,14 @@
 // pickWorker chooses the worker for a task. It returns nil if no eligible worker
 // has free capacity, or if it is better to wait for a faster one.
 func (s *Scheduler) pickWorker(now time.Duration, t *task) *worker {
-	var best, slowestFitting candidate
+	// plain has the lowest cost apart from contention.
+	var best, plain, slowestFitting candidate
 	var total, free int64
 	fastestBusy := time.Duration(math.MaxInt64)
 	eligible := false
 	need := t.step().Need
 	timeLeft := t.job.dueAt - now
+	keepApart := s.keepsApart(t.job.Service)
 	for _, w := range s.workersByName {
 		if !w.usable(t.job.Service) || !s.eligible(t, w) {
 			continue
@@ -329,6 +331,12 @@
 			continue
 		}
 		c := candidate{w, runTime, s.cost(t, w, runTime)}
+		if plain.w == nil || c.cost < plain.cost {
+			plain = c
+		}
+		if keepApart {
+			c.cost *= s.contention(t, w)
+		}
 		if best.w == nil || c.cost < best.cost {
 			best = c
 		}
@@ -343,6 +351,10 @@
 	if !eligible {
 		s.activateEligible(now, t)
 	}
+	if best.runTime > timeLeft && plain.runTime <= timeLeft {
+		// A slowdown costs less than to be late for certain, or to wait for another worker.
+		best = plain
+	}
 	switch {
 	case best.w == nil:
 		return nil
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -20,6 +20,8 @@
 	c.onCandidate, c.onPick, c.byActivation = nil, nil, nil
 	// Decisions don't read the pending actions but the commands.
 	c.pending = Actions{}
+	// Nor do they read the sums of pairs, of which there can be thousands.
+	c.pairs = s.pairs.CountedOnly()
 	c.firstSubmissions, c.lastUrgent, c.maxSpeeds = maps.Clone(s.firstSubmissions), maps.Clone(s.lastUrgent), maps.Clone(s.maxSpeeds)
 	c.evacuation.since, c.evacuation.unchecked = maps.Clone(s.evacuation.since), maps.Clone(s.evacuation.unchecked)
 	c.evacuation.runnableUntil = maps.Clone(s.evacuation.runnableUntil)
@@ -51,6 +53,7 @@
 	c.workers, c.workersByName = make(map[string]*worker, len(workers)), make([]*worker, len(workers))
 	for i, w := range s.workersByName {
 		workers[i] = *w
+		workers[i].running = slices.Clone(w.running)
 		workers[i].tasks = make(map[link.TaskID]*task, len(w.tasks))
 		c.workers[w.name], c.workersByName[i] = &workers[i], &workers[i]
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -134,6 +135,8 @@
 	// unconfirmed are the resources of starts that the agent has not answered.
 	unconfirmed link.Resources
 	tasks       map[link.TaskID]*task
+	// running is that of the agent's last report.
+	running []link.KindCount
 	// preference, from 0 to 1, ranks workers that are otherwise almost equal.
 	preference float64
 }
@@ -177,6 +180,9 @@
 	pending  Actions
 	// placementDue says that capacity may have become free for waiting tasks.
 	placementDue bool
+	// pairs tells which kinds of tasks slow each other down. pairChanges counts its changes.
+	pairs       *interference.Pool
+	pairChanges int64
 	// maxSpeeds caches the result of maxSpeed by service. It is cleared whenever
 	// a worker changes.
 	maxSpeeds  map[string]float64
@@ -207,6 +213,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
+		pairs:      interference.NewPool(),
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
@@ -245,6 +252,10 @@
 	// RefusedStarts counts the starts that agents refused since the entry started, most of
 	// them because other entries were faster.
 	RefusedStarts int64
+	// InterferingPairs are the pairs of kinds that count, PairChanges how often a pair has
+	// begun or ceased to count since the entry started.
+	InterferingPairs int
+	PairChanges      int64
 	// EvacuatedZones are evacuated at present. EvacuationRefusals counts the jobs that were
 	// refused for this reason since the entry started.
 	EvacuatedZones     int
@@ -259,6 +270,7 @@
 	stats := Stats{
 		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
 		EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
+		InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges,
 	}
 	for _, w := range s.workersByName {
 		if !w.connected {
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -27,6 +27,8 @@
 	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	evacuatedZones                                          tally.Gauge
 	evacuationRefusals                                      tally.Counter
+	interferingPairs                                        tally.Gauge
+	pairChanges                                             tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -49,6 +51,7 @@
 		jobs:            scope.Gauge("jobs_in_progress"), waitingJobs: scope.Gauge("jobs_waiting"),
 		workersConnected: scope.Gauge("workers_connected"), workersActive: scope.Gauge("workers_active"),
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
+		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
 		leaveMoves: scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
@@ -67,6 +70,8 @@
 // recordStats sets the metrics that describe the present state, and counts on from the one
 // that was last recorded.
 func (m *metrics) recordStats(s, last dispatch.Stats, lag time.Duration) {
+	m.interferingPairs.Update(float64(s.InterferingPairs))
+	m.pairChanges.Inc(s.PairChanges - last.PairChanges)
 	m.jobs.Update(float64(s.Jobs))
 	m.waitingJobs.Update(float64(s.WaitingJobs))
 	m.workersConnected.Update(float64(s.ConnectedWorkers))
