--- a/link/messages.go
+++ b/link/messages.go
@@ -5,7 +5,7 @@
 // The limit keeps a damaged length from allocating more than a frame can hold.
 //msgp:limit arrays:16384
 
-//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Demand Commands Spec StartAnswer End Progress WorkerState Pair KindCount Report
+//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Commands Spec StartAnswer End Progress WorkerState Pair KindCount Report
 
 // Protocol is the version of the message set. A process rejects connections from
 // a peer with a different version.
@@ -110,18 +110,6 @@
 	WorkerRevision uint64
 }
 
-// Demand describes the tasks of an entry that wait for free capacity and can still be on
-// time.
-type Demand struct {
-	// MilliCPU is what they need together; 0 if none waits.
-	MilliCPU int64
-	// SinceMS is since when the one that has waited longest waits, in milliseconds of the
-	// agent's clock.
-	SinceMS int64
-	// Need is that of the task to be started next.
-	Need Resources
-}
-
 // Commands is the message that an entry sends to an agent. Without claims, stops and
 // starts it is a ping, which asks for a Report unless the agent has just sent one.
 type Commands struct {
@@ -143,7 +131,6 @@
 	// then reports only changes of the worker and of whether it accepts tasks.
 	Inactive   bool
 	Evacuation Evacuation
-	Demand     Demand
 }
 
 // Values of StartAnswer.Result.
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -128,8 +128,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.AsOfMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
@@ -170,11 +170,6 @@
 	o = msgp.AppendUint64(o, z.Evacuation.Version)
 	o = msgp.AppendBool(o, z.Evacuation.Evacuated)
 	o = msgp.AppendUint64(o, z.Evacuation.WorkerRevision)
-	o, err = z.Demand.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Demand")
-		return
-	}
 	return
 }
 
@@ -186,8 +181,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -354,11 +349,6 @@
 		err = msgp.WrapError(err, "Evacuation", "WorkerRevision")
 		return
 	}
-	bts, err = z.Demand.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Demand")
-		return
-	}
 	o = bts
 	return
 }
@@ -381,79 +371,7 @@
 	for za0004 := range z.Specs {
 		s += 1 + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Specs[za0004].Data)
 	}
-	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + z.Demand.Msgsize()
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Demand) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt64(o, z.MilliCPU)
-	o = msgp.AppendInt64(o, z.SinceMS)
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt64(o, z.Need.MilliCPU)
-	o = msgp.AppendInt64(o, z.Need.MemoryMB)
-	o = msgp.AppendInt64(o, z.Need.GPU)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Demand) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.MilliCPU, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "MilliCPU")
-		return
-	}
-	z.SinceMS, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "SinceMS")
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Need")
-		return
-	}
-	if zb0002 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-		return
-	}
-	z.Need.MilliCPU, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Need", "MilliCPU")
-		return
-	}
-	z.Need.MemoryMB, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Need", "MemoryMB")
-		return
-	}
-	z.Need.GPU, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Need", "GPU")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Demand) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Int64Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
+	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
 	return
 }
 
