Read link frames as they arrive, and bound the first message

A peer that declared a frame of 4 MiB and sent nothing made the process allocate 4 MiB. Frames are now read in steps that at most double what has arrived; frames of up to 16 KiB are still read into one buffer. The first message of a connection, Hello or Welcome, has at most 4 KiB: its sender isn't known yet.

Tests of link and dispatchd pass with -race.

--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -164,7 +164,7 @@
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(welcomeTimeout))
 	var w link.Welcome
-	if err := conn.Read(&w); err != nil {
+	if err := conn.ReadFirst(&w); err != nil {
 		return agentClock, err
 	}
 	agentClock.Observe(clock.SinceBoot(), time.Duration(w.ClockMS)*time.Millisecond)
--- a/link/conn.go
+++ b/link/conn.go
@@ -127,6 +127,14 @@
 	return nil
 }
 
+// ReadFirst is Read for the first message of a connection, which is short.
+func (c *Conn) ReadFirst(m Message) error {
+	if err := readFrame(c.reader, m, maxFirstFrameBytes); err != nil {
+		return c.fail(err)
+	}
+	return nil
+}
+
 // SetReadDeadline sets the time after which Read fails. The zero time disables it.
 func (c *Conn) SetReadDeadline(t time.Time) error { return c.conn.SetReadDeadline(t) }
 
--- a/link/frame.go
+++ b/link/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
@@ -13,7 +14,13 @@
 	// maxFrameBytes bounds the body of a frame, in bytes. A frame can hold 1,000
 	// starts of 4 KB each.
 	maxFrameBytes = 4 << 20
-	headerBytes   = 4
+	// maxFirstFrameBytes bounds the body of the first frame of a connection, in bytes. Its
+	// sender is not known, and Hello and Welcome have less than 300.
+	maxFirstFrameBytes = 4 << 10
+	// frameChunkBytes is what is allocated for a frame before any of it has arrived, in
+	// bytes: most frames are smaller.
+	frameChunkBytes = 16 << 10
+	headerBytes     = 4
 )
 
 // Message is a message that can be sent over a Conn.
@@ -46,17 +53,20 @@
 }
 
 // ReadFrame reads one frame into m. It returns io.EOF if r is at its end.
-func ReadFrame(r *bufio.Reader, m Message) error {
+func ReadFrame(r *bufio.Reader, m Message) error { return readFrame(r, m, maxFrameBytes) }
+
+// readFrame is ReadFrame for a frame whose body has at most limit bytes.
+func readFrame(r *bufio.Reader, m Message, limit uint32) error {
 	var head [headerBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > maxFrameBytes {
-		return errors.Errorf("%T of %d bytes exceeds the limit of %d", m, n, maxFrameBytes)
+	if n > limit {
+		return errors.Errorf("%T of %d bytes exceeds the limit of %d", m, n, limit)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBytes(r, int(n))
+	if err != nil {
 		return errors.Wrapf(err, "read %T", m)
 	}
 	rest, err := m.UnmarshalMsg(body)
@@ -71,3 +81,21 @@
 	}
 	return nil
 }
+
+// readBytes reads n bytes. At most frameChunkBytes, or twice what has arrived, is
+// allocated: the length is only what the peer declares.
+func readBytes(r io.Reader, n int) ([]byte, error) {
+	var b []byte
+	for len(b) < n {
+		arrived := len(b)
+		b = slices.Grow(b, min(n-arrived, max(arrived, frameChunkBytes)))
+		b = b[:min(n, cap(b))]
+		if _, err := io.ReadFull(r, b[arrived:]); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return b, nil
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,7 +1,11 @@
 package link
 
 import (
+	"bufio"
+	"bytes"
+	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,3 +74,35 @@
 		qt.Assert(t, conn.Send(&commands), qt.IsNotNil)
 	}
 }
+
+// Guards against a peer that takes memory by declaring a length, or by a long first message.
+func TestFramesAreReadAsTheyArrive(t *testing.T) {
+	r := &greediness{arriving: 100_000}
+	_, err := readBytes(r, maxFrameBytes)
+	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
+	qt.Assert(t, r.largest <= 2*r.arriving, qt.IsTrue, qt.Commentf("asked for %d bytes after at most %d", r.largest, r.arriving))
+
+	long, err := AppendFrame(nil, &Commands{Stops: slices.Repeat([]Stop{{Task: TaskID{Job: randomSpec(40)}}}, 1000)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(long) > frameChunkBytes, qt.IsTrue)
+	var got Commands
+	qt.Assert(t, ReadFrame(bufio.NewReader(bytes.NewReader(long)), &got), qt.IsNil)
+	qt.Assert(t, got.Stops, qt.HasLen, 1000)
+
+	a, b := connPair(t)
+	qt.Assert(t, a.Send(&Hello{Entry: randomSpec(5000)}), qt.IsNil)
+	qt.Assert(t, b.ReadFirst(&Hello{}), qt.ErrorMatches, ".*exceeds the limit of 4096")
+}
+
+// greediness is a reader whose bytes end early. It notes the most bytes it was asked for.
+type greediness struct{ arriving, arrived, largest int }
+
+func (g *greediness) Read(p []byte) (int, error) {
+	g.largest = max(g.largest, len(p))
+	n := min(len(p), g.arriving-g.arrived)
+	if n == 0 {
+		return 0, io.EOF
+	}
+	g.arrived += n
+	return n, nil
+}
