Bound the tasks in progress and the tasks listed in a log line

Jobs of 4,096 tasks are legal, and 2,000 jobs may wait: the tasks alone take more than the memory of a small entry, and so do their strings, which may have 250 KB each, and the lines 'job answered', which list all tasks and of which 2,048 may wait to be written. Options.MaxTasks bounds the tasks in progress, counting the other memory of a job in units of 512 bytes; a job beyond it is refused as not run, before anything is allocated for it. A job is accepted in any case while there is no other. Log lines list 200 tasks; the largest ordinary jobs have 170.

Nothing sets the bound yet.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -46,6 +47,19 @@
 	return nil
 }
 
+// admitTasks refuses a job whose tasks would exceed Options.MaxTasks together with those of
+// other jobs; nil means that they don't. It runs before anything is allocated for the job.
+func (s *Scheduler) admitTasks(sub *Job) *api.Verdict {
+	n := sub.size()
+	if s.opts.MaxTasks <= 0 || s.tasks == 0 || s.tasks+n <= s.opts.MaxTasks {
+		return nil
+	}
+	v := s.overloadVerdict(minRetryAfter, "too many tasks are in progress")
+	s.log(decisions.Info("job refused", "job", sub.ID, "queue", sub.Queue, "reason", v.Message,
+		"tasks", n, "tasks_in_progress", s.tasks, "retry_after_ms", v.RetryAfter.Milliseconds()))
+	return v
+}
+
 // overloadVerdict returns a refusal for overload, with a hint when to retry.
 func (s *Scheduler) overloadVerdict(wait time.Duration, message string) *api.Verdict {
 	v := api.Refuse(api.ReasonOverload, message)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -140,6 +141,8 @@
 	// lastUrgent is when each service last got a job of the highest priority.
 	lastUrgent    map[string]time.Duration
 	refusedStarts int64
+	// tasks is the sum of Job.size over jobs.
+	tasks         int
 	cachedAnswers map[string]cachedAnswer
 	// cacheOrder holds the keys of cachedAnswers, the oldest first.
 	cacheOrder []string
@@ -273,6 +276,9 @@
 		s.log(decisions.Info("job submitted again, already in progress", "job", sub.ID))
 		return nil
 	}
+	if v := s.admitTasks(&sub); v != nil {
+		return v
+	}
 	if sub.Waited == 0 {
 		s.firstSubmissions[sub.Queue] = now
 	} else if last, ok := s.firstSubmissions[sub.Queue]; !ok || now-last > firstSubmissionPeriod {
@@ -295,6 +301,7 @@
 		t.attempt = last.attempt
 	}
 	s.jobs[j.ID] = j
+	s.tasks += j.size()
 	s.enqueue(j)
 	s.activateRacks(now, j)
 	s.placeWaiting(now)
@@ -307,10 +314,22 @@
 	return nil
 }
 
+// size returns the number of a job's tasks, plus the memory of what else it holds in units
+// of TaskBytes.
+func (j *Job) size() int {
+	tasks, held := 0, len(j.Spec)
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		tasks += st.Tasks
+		held += stepBytes + len(st.RequiredLabel) + len(st.DataRack) + 8*len(st.DependsOn)
+	}
+	return tasks + held/TaskBytes
+}
+
 // placedWorkers lists the workers of a job's tasks for the log.
 func (s *Scheduler) placedWorkers(j *job) string {
 	var b strings.Builder
-	for _, t := range j.tasks {
+	for _, t := range j.tasks[:min(len(j.tasks), maxLoggedTasks)] {
 		if t.worker != nil {
 			if b.Len() > 0 {
 				b.WriteByte(' ')
@@ -413,6 +432,7 @@
 // finish answers a job, stops its remaining attempts, and removes it.
 func (s *Scheduler) finish(now time.Duration, j *job, v *api.Verdict) {
 	delete(s.jobs, j.ID)
+	s.tasks -= j.size()
 	s.dequeue(j)
 	s.keepAttempts(now, j)
 	for _, t := range j.tasks {
@@ -427,10 +447,14 @@
 }
 
 func (j *job) taskHistories() []string {
-	lines := make([]string, 0, len(j.tasks))
-	for _, t := range j.tasks {
+	listed := j.tasks[:min(len(j.tasks), maxLoggedTasks)]
+	lines := make([]string, 0, len(listed)+1)
+	for _, t := range listed {
 		lines = append(lines, t.history())
 	}
+	if more := len(j.tasks) - len(listed); more > 0 {
+		lines = append(lines, "and "+strconv.Itoa(more)+" more")
+	}
 	return lines
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -104,6 +104,10 @@
 	StartedAt time.Duration
 	// MaxWaitingJobs limits the jobs with tasks that wait for a worker.
 	MaxWaitingJobs int
+	// MaxTasks limits the tasks of the jobs in progress, including what else the jobs hold
+	// in units of TaskBytes; 0 means no limit. A job is accepted in any case while there is no
+	// other.
+	MaxTasks int
 	// Policy weighs the decisions. The zero value stands for DefaultPolicy.
 	Policy Policy
 }
@@ -229,6 +233,14 @@
 	// of other jobs in the queue is used. A queue in which all callers seem to have waited
 	// has callers with little patience.
 	firstSubmissionPeriod = 5 * time.Second
+	// TaskBytes is the memory of a task in progress, with its share of the messages and log
+	// lines that name it.
+	TaskBytes = 512
+	// stepBytes is the memory of a step without its tasks and strings.
+	stepBytes = 192
+	// maxLoggedTasks limits the tasks that a log line lists. The largest ordinary jobs have
+	// 170; thousands would make the lines that wait to be written larger than all else.
+	maxLoggedTasks = 200
 	// answerRetention is how long answers are kept for repeated submissions, and
 	// maxCachedAnswers is the largest number that is kept.
 	answerRetention  = 15 * time.Second
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -94,8 +94,10 @@
 	// CloseConnections closes connections of callers: idle ones at once, others after
 	// their answer.
 	CloseConnections func()
-	Log              *decisions.Log
-	Metrics          tally.Scope
+	// WorkBytes limits the memory for the jobs in progress; 0 means no limit.
+	WorkBytes int64
+	Log       *decisions.Log
+	Metrics   tally.Scope
 }
 
 // Dispatcher connects the scheduler of an entry with its agents, callers and
@@ -161,7 +163,7 @@
 		opts: o, startedAt: startedAt, events: make(chan event, eventQueueSize), queuedSubmissions: map[string]int{},
 		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}),
 		scheduler: dispatch.New(dispatch.Options{
-			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs,
+			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
