Add package intake, which bounds what clients take from a process

Bytes of unfinished requests, connections, and processor time for reading had no bound for the whole process. The choice of the connection to close is a pure function.

Nothing uses the package yet.

--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,253 @@
+package intake
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errBusy is the cause of the error of a read that the budget does not allow.
+var errBusy = errors.New("too many bytes of unfinished requests")
+
+// Conn is an accepted connection. It embeds the TCP connection, so that servers find its
+// further methods, such as CloseWrite and SyscallConn.
+type Conn struct {
+	*net.TCPConn
+	guard    *Guard
+	listener *listener
+	closed   chan struct{}
+	// index is the position in listener.conns, or -1; guarded by guard.mu.
+	index int
+	// greeted says whether the program has called Greeted.
+	greeted atomic.Bool
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	state connState
+	// inBody says that the head of the unfinished request has been read.
+	inBody bool
+	ended  bool
+	// refused makes every further read fail.
+	refused bool
+	// readDeadline is that of the last call of SetReadDeadline, and delay the time by which
+	// the next read is put off. needsDeadline says that the next read has progressTimeout:
+	// ordinary bodies arrive with their head and need no further read.
+	readDeadline  time.Time
+	delay         time.Duration
+	needsDeadline bool
+}
+
+// Read reads from the connection and charges what it has read to the budget.
+func (c *Conn) Read(p []byte) (int, error) {
+	paced, err := c.awaitTurn()
+	if err != nil {
+		return 0, err
+	}
+	if paced && len(p) > maxReadBytes {
+		p = p[:maxReadBytes]
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.charge(p[:n]) {
+		// net/http answers no error of this type in the head of a request.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errBusy}
+	}
+	return n, err
+}
+
+// awaitTurn puts off a read for as long as the pace of large requests demands, and reports
+// whether the request is read at that pace. The time does not count for the deadline of the
+// read.
+func (c *Conn) awaitTurn() (paced bool, err error) {
+	c.mu.Lock()
+	delay, refused := c.delay, c.refused
+	paced = c.state.held > largeBytes && c.guard.large.Load() > calmRequests
+	c.delay = 0
+	if c.needsDeadline {
+		err = c.setReadDeadlineLocked(time.Now().Add(progressTimeout))
+	}
+	deadline := c.readDeadline
+	c.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	if refused {
+		return false, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errBusy}
+	}
+	// While a handler runs, net/http reads without a deadline to notice the end of the
+	// connection, and interrupts that read by a deadline. Such reads aren't put off.
+	if delay <= 0 || deadline.IsZero() {
+		return paced, nil
+	}
+	if time.Until(deadline) <= 0 {
+		return false, os.ErrDeadlineExceeded
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+		return false, net.ErrClosed
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.readDeadline.Equal(deadline) {
+		return paced, nil
+	}
+	return paced, c.setReadDeadlineLocked(deadline.Add(delay))
+}
+
+// SetReadDeadline implements net.Conn. net/http calls it with the zero time before it reads
+// beyond a body.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.setReadDeadlineLocked(t)
+}
+
+func (c *Conn) setReadDeadlineLocked(t time.Time) error {
+	c.readDeadline, c.needsDeadline = t, false
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// charge charges what was read. It returns false if the budget does not allow it.
+func (c *Conn) charge(p []byte) bool {
+	g := c.guard
+	now := g.now()
+	c.mu.Lock()
+	c.state.lastRead = now
+	if c.state.phase == serving || c.ended {
+		// At most a byte of the next request, read to notice the end of the connection.
+		c.mu.Unlock()
+		return true
+	}
+	c.state.phase = receiving
+	cost := int64(len(p))
+	if !c.inBody && !c.greeted.Load() {
+		cost += headLineBytes * int64(bytes.Count(p, newline))
+	}
+	before := c.state.held
+	c.state.held += cost
+	total := g.held.Add(cost)
+	if c.state.held > largeBytes {
+		large := g.large.Load()
+		if before <= largeBytes {
+			large = g.large.Add(1)
+		}
+		if large > calmRequests {
+			c.delay = g.pace.ReserveN(time.Now(), min(max(len(p), minReadBytes), g.pace.Burst())).Delay()
+		}
+	}
+	c.mu.Unlock()
+	if total <= g.limits.UnfinishedBytes || g.freeBytes(c) {
+		return true
+	}
+	g.refusals.add(c.listener.name, tooManyBytes)
+	c.mu.Lock()
+	c.refused = true
+	c.releaseLocked()
+	c.mu.Unlock()
+	return false
+}
+
+var newline = []byte{'\n'}
+
+// releaseLocked gives back the bytes charged.
+func (c *Conn) releaseLocked() {
+	if c.state.held > largeBytes {
+		c.guard.large.Add(-1)
+	}
+	c.guard.held.Add(-c.state.held)
+	c.state.held = 0
+}
+
+// enter changes the phase. release says whether the bytes charged are given back.
+func (c *Conn) enter(p phase, inBody, release bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.phase, c.inBody, c.needsDeadline = p, inBody, inBody
+	if p != receiving {
+		c.delay = 0
+	}
+	if release {
+		c.releaseLocked()
+	}
+}
+
+// Greeted says that the first message of the peer of a listener for entries has arrived.
+func (c *Conn) Greeted() {
+	c.guard.mu.Lock()
+	if c.index >= 0 && !c.greeted.Load() {
+		c.listener.greetings--
+	}
+	c.greeted.Store(true)
+	c.guard.mu.Unlock()
+	c.Received()
+}
+
+// Received says that a whole message has arrived.
+func (c *Conn) Received() { c.enter(idle, false, true) }
+
+// Write writes to the connection. A peer that does not read for progressTimeout is treated
+// as gone: it would occupy its place without end.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(progressTimeout)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.guard.mu.Lock()
+	c.listener.remove(c)
+	c.guard.mu.Unlock()
+	return c.end()
+}
+
+// end closes the connection and gives back the bytes charged.
+func (c *Conn) end() error {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return net.ErrClosed
+	}
+	c.ended = true
+	c.releaseLocked()
+	close(c.closed)
+	c.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *Conn) snapshot() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// greetingState is the state of a connection whose first message has not arrived.
+func (c *Conn) greetingState() (connState, bool) { return c.snapshot(), !c.greeted.Load() }
+
+// unservedState is the state of a connection that may be closed for a new one.
+func (c *Conn) unservedState() (connState, bool) {
+	s := c.snapshot()
+	return s, s.phase != serving && !c.greeted.Load()
+}
+
+// holdingState is the state of a connection with an unfinished request.
+func (c *Conn) holdingState() (connState, bool) {
+	s := c.snapshot()
+	return s, s.phase == receiving && s.held > 0
+}
--- /dev/null
+++ b/intake/guard.go
@@ -0,0 +1,237 @@
+// Package intake bounds what clients that nobody controls can take from a process: memory
+// for unfinished requests, connections, and processor time for reading.
+//
+// Input: listeners, servers, requests. Output: wrapped connections, bodies, typed errors.
+// State: the connections that are open and the bytes of their unfinished requests.
+//
+// The bytes that a connection has delivered are charged to the budget of the process as
+// they arrive. They are given back when the request has been decoded, when it has been
+// answered, or when the connection ends. What net/http keeps of a following request (at
+// most the 4 KiB of its read buffer) is not counted. There is no goroutine besides those of
+// the servers.
+package intake
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+
+	"github.com/sesamelift/sesamelift/decisions"
+)
+
+// Options configure a Guard.
+type Options struct {
+	Limits Limits
+	// Log writes a line; it must not block.
+	Log     func(decisions.Line)
+	Metrics tally.Scope
+}
+
+// Guard applies the limits to the connections of a process. Its methods are safe for
+// concurrent use.
+type Guard struct {
+	limits   Limits
+	log      func(decisions.Line)
+	refusals *refusals
+	metrics  tally.Scope
+	// held are the bytes charged for unfinished requests, and large is the number of
+	// those requests that are large.
+	held  atomic.Int64
+	large atomic.Int64
+	pace  *rate.Limiter
+	// decodes limits the large bodies that are decoded at the same time.
+	decodes chan struct{}
+	base    time.Time
+
+	mu        sync.Mutex
+	listeners []*listener
+}
+
+// NewGuard returns a guard.
+func NewGuard(o Options) *Guard {
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = func(decisions.Line) {}
+	}
+	return &Guard{
+		limits: o.Limits, log: o.Log, refusals: newRefusals(o.Log, o.Metrics), metrics: o.Metrics,
+		pace: rate.NewLimiter(rate.Limit(o.Limits.PacedBytesPerSecond), paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
+	}
+}
+
+// now returns the time since the guard was made.
+func (g *Guard) now() time.Duration { return time.Since(g.base) }
+
+// ListenForCallers bounds the connections of a listener for callers.
+func (g *Guard) ListenForCallers(l net.Listener) net.Listener {
+	return g.listen("callers", l, g.limits.Callers, 0)
+}
+
+// ListenForService bounds the connections of a listener for other requests.
+func (g *Guard) ListenForService(name string, l net.Listener) net.Listener {
+	return g.listen(name, l, g.limits.Service, 0)
+}
+
+// ListenForEntries bounds the connections of a listener for entries. The program calls
+// Greeted on each connection whose first message has arrived, and Received after each
+// further one.
+func (g *Guard) ListenForEntries(l net.Listener) net.Listener {
+	return g.listen("link", l, g.limits.Links, g.limits.Greetings)
+}
+
+// listen wraps a listener. At most bound connections are open; if maxGreetings is above 0,
+// at most that many of them may not have called Greeted.
+func (g *Guard) listen(name string, l net.Listener, bound, maxGreetings int) net.Listener {
+	w := &listener{Listener: l, guard: g, name: name, bound: bound, maxGreetings: maxGreetings,
+		open: g.metrics.Tagged(map[string]string{"address": name}).Gauge("intake_connections")}
+	if maxGreetings == 0 {
+		// Accepted connections have the buffer size of their listener.
+		if err := setReceiveBuffer(l); err != nil {
+			g.log(decisions.Warn("cannot set the receive buffer of a listener", "address", name, "error", err.Error()))
+		}
+	}
+	g.mu.Lock()
+	g.listeners = append(g.listeners, w)
+	g.mu.Unlock()
+	return w
+}
+
+func setReceiveBuffer(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return errors.Errorf("listener of type %T", l)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sockoptErr error
+	if err := raw.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	}); err != nil {
+		return err
+	}
+	return sockoptErr
+}
+
+// listener is a listener with a bound on its open connections.
+type listener struct {
+	net.Listener
+	guard               *Guard
+	name                string
+	bound, maxGreetings int
+	open                tally.Gauge
+	// conns and greetings are guarded by guard.mu. greetings is the number of conns that
+	// have not called Greeted.
+	conns     []*Conn
+	greetings int
+}
+
+// Accept returns the next connection that there is room for.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := raw.(*net.TCPConn)
+		if !ok {
+			_ = raw.Close()
+			return nil, errors.Errorf("connection of type %T is not a TCP connection", raw)
+		}
+		if c := l.add(tcp); c != nil {
+			return c, nil
+		}
+		l.guard.refusals.add(l.name, noRoom)
+		_ = tcp.Close()
+	}
+}
+
+// add makes room for a connection, by closing another one if necessary. It returns nil if
+// there is none to close.
+func (l *listener) add(tcp *net.TCPConn) *Conn {
+	g := l.guard
+	now := g.now()
+	c := &Conn{TCPConn: tcp, guard: g, listener: l, closed: make(chan struct{}), state: connState{acceptedAt: now, lastRead: now}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.maxGreetings > 0 && l.greetings >= l.maxGreetings {
+		l.evict(now, (*Conn).greetingState, olderGreeting, tooManyGreetings)
+	}
+	if len(l.conns) >= l.bound && !l.evict(now, (*Conn).unservedState, silentLonger, tooManyConnections) {
+		return nil
+	}
+	c.index = len(l.conns)
+	l.conns = append(l.conns, c)
+	l.greetings++
+	l.open.Update(float64(len(l.conns)))
+	return c
+}
+
+// evict closes the connection that comes first and reports whether there was one. The
+// caller holds guard.mu.
+func (l *listener) evict(now time.Duration, state func(*Conn) (connState, bool), before preferable, r reason) bool {
+	i := choose(now, len(l.conns), func(i int) (connState, bool) { return state(l.conns[i]) }, before)
+	if i < 0 {
+		return false
+	}
+	l.guard.refusals.add(l.name, r)
+	c := l.conns[i]
+	l.remove(c)
+	c.end()
+	return true
+}
+
+// remove removes a connection unless that was done before. The caller holds guard.mu.
+func (l *listener) remove(c *Conn) {
+	if c.index < 0 {
+		return
+	}
+	last := len(l.conns) - 1
+	l.conns[c.index] = l.conns[last]
+	l.conns[c.index].index = c.index
+	l.conns[last] = nil
+	l.conns = l.conns[:last]
+	c.index = -1
+	if !c.greeted.Load() {
+		l.greetings--
+	}
+	l.open.Update(float64(len(l.conns)))
+}
+
+// freeBytes closes connections with unfinished requests until the bytes charged are within
+// the limit. It returns false if those of own should not be read on: there is no other
+// connection to close.
+func (g *Guard) freeBytes(own *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.held.Load() > g.limits.UnfinishedBytes {
+		now := g.now()
+		var best *Conn
+		var bestState connState
+		for _, l := range g.listeners {
+			i := choose(now, len(l.conns), func(i int) (connState, bool) { return l.conns[i].holdingState() }, heldMoreForLonger)
+			if i < 0 {
+				continue
+			}
+			if s, _ := l.conns[i].holdingState(); best == nil || heldMoreForLonger(now, s, bestState) {
+				best, bestState = l.conns[i], s
+			}
+		}
+		if best == nil || best == own {
+			return false
+		}
+		g.refusals.add(best.listener.name, tooManyBytes)
+		best.listener.remove(best)
+		best.end()
+	}
+	return true
+}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,451 @@
+package intake
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamelift/sesamelift/decisions"
+)
+
+// Guards against limits that leave a process no descriptors or memory of its own, or that
+// are 0 because a setting is missing or small.
+func TestDerive(t *testing.T) {
+	for _, r := range []Resources{
+		{}, {MemoryBytes: 144 << 20, Descriptors: 3075, Cores: 0.144}, {MemoryBytes: 536 << 20, Descriptors: 10250, Cores: 0.8},
+		{MemoryBytes: 1, Descriptors: 1, Cores: 0.001}, {MemoryBytes: 1 << 40, Descriptors: 1 << 20},
+	} {
+		l := Derive(r)
+		for _, n := range []int{l.Callers, l.Service, l.Links, l.Greetings, l.PacedBytesPerSecond} {
+			qt.Check(t, n > 0, qt.IsTrue, qt.Commentf("%+v: %+v", r, l))
+		}
+		if r.Descriptors > 100 {
+			qt.Check(t, l.Callers+3*l.Service <= r.Descriptors*3/4, qt.IsTrue, qt.Commentf("%+v: %+v", r, l))
+			qt.Check(t, l.Links+2*l.Service <= r.Descriptors*3/4, qt.IsTrue, qt.Commentf("%+v: %+v", r, l))
+		}
+		if r.MemoryBytes > 1<<20 {
+			held := l.UnfinishedBytes + l.WorkBytes + int64(l.Callers+3*l.Service)*connectionBytes
+			qt.Check(t, held <= r.MemoryBytes*2/3, qt.IsTrue, qt.Commentf("%+v: %+v", r, l))
+		}
+	}
+	qt.Assert(t, Derive(Resources{}).UnfinishedBytes, qt.Equals, int64(64<<20))
+}
+
+// Guards against a caller with a request in progress that is closed for a new connection,
+// or whose idle connection is closed before those of clients that never finish a request.
+func TestChoiceForANewConnection(t *testing.T) {
+	at := func(p phase, lastRead time.Duration) connState { return connState{phase: p, lastRead: lastRead} }
+	for _, tc := range []struct {
+		name  string
+		conns []connState
+		want  int
+	}{
+		{"none", nil, -1},
+		{"all serve", []connState{at(serving, 1), at(serving, 2)}, -1},
+		{"silent longest", []connState{at(receiving, 5), at(receiving, 2), at(receiving, 9)}, 1},
+		{"unfinished before idle", []connState{at(idle, 1), at(serving, 0), at(receiving, 8)}, 2},
+		{"idle", []connState{at(serving, 1), at(idle, 8), at(idle, 3)}, 2},
+	} {
+		got := choose(10, len(tc.conns), func(i int) (connState, bool) { return tc.conns[i], tc.conns[i].phase != serving }, silentLonger)
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf("%s", tc.name))
+	}
+}
+
+// Guards against a budget that is freed at the cost of the newest or a small request while
+// others hold much more and have stopped sending.
+func TestChoiceForBytes(t *testing.T) {
+	now := time.Minute
+	at := func(held int64, silent time.Duration) connState {
+		return connState{held: held, lastRead: now - silent}
+	}
+	for _, tc := range []struct {
+		name  string
+		conns []connState
+		want  int
+	}{
+		{"most bytes", []connState{at(300, time.Second), at(250_000, time.Second), at(16_000, time.Second)}, 1},
+		{"longest silent", []connState{at(250_000, 0), at(250_000, 2*time.Second), at(250_000, time.Second)}, 1},
+		{"all send", []connState{at(1000, 0), at(250_000, 0)}, 1},
+		{"the newest has none", []connState{at(0, 0), at(100, time.Millisecond)}, 1},
+	} {
+		got := choose(now, len(tc.conns), func(i int) (connState, bool) { return tc.conns[i], true }, heldMoreForLonger)
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf("%s", tc.name))
+	}
+}
+
+// Guards against a line for each of thousands of refusals, and against refusals that no
+// counter shows.
+func TestRefusalsAreLoggedOnceASecond(t *testing.T) {
+	var lines []decisions.Line
+	scope := tally.NewTestScope("", nil)
+	r := newRefusals(func(l decisions.Line) { lines = append(lines, l) }, scope)
+	now := time.Unix(100, 0)
+	r.now = func() time.Time { return now }
+	for range 1000 {
+		r.add("callers", tooManyBytes)
+	}
+	qt.Assert(t, lines, qt.HasLen, 1)
+	now = now.Add(refusalLogInterval)
+	r.add("callers", tooManyBytes)
+	r.add("callers", noRoom)
+	qt.Assert(t, lines, qt.HasLen, 3)
+	qt.Assert(t, lines[1].Fields, qt.DeepEquals, []any{"address", "callers", "count", 1000})
+	counters := map[string]int64{}
+	for _, c := range scope.Snapshot().Counters() {
+		counters[c.Tags()["reason"]] = c.Value()
+	}
+	qt.Assert(t, counters, qt.DeepEquals, map[string]int64{"bytes": 1001, "no_room": 1})
+}
+
+// server is a server behind a guard. Its handler answers with the length of the body.
+type server struct {
+	*qt.C
+	guard *Guard
+	addr  string
+	// hold, while it is set, keeps handlers from decoding.
+	hold atomic.Pointer[chan struct{}]
+}
+
+func newServer(t *testing.T, l Limits) *server {
+	s := &server{C: qt.New(t), guard: NewGuard(Options{Limits: l})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s.Assert(err, qt.IsNil)
+	s.addr = listener.Addr().String()
+	h := s.guard.Protect(&http.Server{Handler: http.HandlerFunc(s.serve)})
+	go func() { _ = h.Serve(s.guard.ListenForCallers(listener)) }()
+	t.Cleanup(func() { _ = h.Close() })
+	return s
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/unread" {
+		return
+	}
+	if r.URL.Path == "/panic" {
+		panic(http.ErrAbortHandler)
+	}
+	n := 0
+	err := ReadBody(r, 300_000, func(b []byte) error {
+		if hold := s.hold.Load(); hold != nil {
+			<-*hold
+		}
+		n = len(b)
+		return nil
+	})
+	if status, ok := Status(w, err); ok {
+		w.WriteHeader(status)
+		return
+	}
+	fmt.Fprint(w, n)
+}
+
+var defaults = Limits{UnfinishedBytes: 1 << 20, Callers: 100, Service: 10, Links: 10, Greetings: 2, PacedBytesPerSecond: 100 << 20}
+
+func (s *server) dial() net.Conn {
+	c, err := net.Dial("tcp", s.addr)
+	s.Assert(err, qt.IsNil)
+	s.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// send writes to a connection, which the server may close meanwhile.
+func send(c net.Conn, text string) net.Conn {
+	_, _ = io.WriteString(c, text)
+	return c
+}
+
+// answer reads an answer and returns its status and body, or 0 if there is none.
+func answer(c net.Conn) (int, string) {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(b)
+}
+
+func post(path, headers, body string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" + body
+}
+
+func sized(n int) string { return post("/", fmt.Sprintf("Content-Length: %d\r\n", n), "") }
+
+// eventually waits for a state that other goroutines bring about.
+func (s *server) eventually(what string, f func() bool) {
+	s.Helper()
+	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			s.Fatalf("%s: not within 10 s", what)
+		}
+	}
+}
+
+// free reports whether nothing is charged and no connection but those of n is open.
+func (s *server) free(n int) {
+	s.Helper()
+	s.eventually("everything given back", func() bool {
+		s.guard.mu.Lock()
+		open := len(s.guard.listeners[0].conns)
+		s.guard.mu.Unlock()
+		return s.guard.held.Load() == 0 && s.guard.large.Load() == 0 && open == n
+	})
+}
+
+// Guards against bytes that stay charged after a request, on whatever path it ends, and
+// against ordinary requests of any form that are not served.
+func TestEverythingIsGivenBack(t *testing.T) {
+	s := newServer(t, defaults)
+	big := strings.Repeat("x", 262_144)
+	oneByteChunks := strings.Repeat("1\r\nx\r\n", 100_000) + "0\r\n\r\n"
+	for _, tc := range []struct {
+		name, request string
+		status        int
+		body          string
+	}{
+		{"no body", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 200, "0"},
+		{"small", sized(5) + "hello", 200, "5"},
+		{"empty", sized(0), 200, "0"},
+		{"large", sized(len(big)) + big, 200, "262144"},
+		{"one-byte chunks", post("/", "Transfer-Encoding: chunked\r\n", oneByteChunks), 200, "100000"},
+		{"head of 16 KiB", post("/", "X: "+strings.Repeat("y", 16_000)+"\r\nContent-Length: 1\r\n", "z"), 200, "1"},
+		{"unread body", post("/unread", "Content-Length: 20000\r\n", big[:20000]), 200, ""},
+		{"declared too large", sized(300_001), 413, ""},
+		{"chunked too large", post("/", "Transfer-Encoding: chunked\r\n", "50000\r\n"+strings.Repeat("x", 0x50000)), 413, ""},
+		{"malformed", "nonsense\r\n\r\n", 400, "400 Bad Request"},
+		{"endless head", "GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 40_000), 431, "431 Request Header Fields Too Large"},
+		{"empty lines", strings.Repeat("\r\n", 5000), 400, "400 Bad Request"},
+		{"panic", post("/panic", "Content-Length: 3\r\n", "abc"), 0, "unexpected EOF"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := send(s.dial(), tc.request)
+			status, body := answer(c)
+			// A server that closes with unread bytes may reset the connection before the
+			// answer is read.
+			if status != 0 || tc.status < 400 && tc.status != 0 {
+				qt.Assert(t, []any{status, body}, qt.DeepEquals, []any{tc.status, tc.body})
+			}
+			if status == 200 {
+				status, body = answer(send(c, sized(4)+"more"))
+				qt.Assert(t, []any{status, body}, qt.DeepEquals, []any{200, "4"}, qt.Commentf("second request"))
+			}
+			_ = c.Close()
+			s.free(0)
+		})
+	}
+	// A connection that breaks off.
+	for range 3 {
+		c := send(s.dial(), sized(1000)+"part")
+		s.eventually("charged", func() bool { return s.guard.held.Load() > 0 })
+		_ = c.Close()
+		s.free(0)
+	}
+}
+
+// Guards against bodies that stop short of their end and together take all memory, and
+// against an ordinary request that is refused because of them.
+func TestUnfinishedBodiesStayWithinTheBudget(t *testing.T) {
+	s := newServer(t, defaults)
+	for range 30 {
+		send(s.dial(), sized(100_000)+strings.Repeat("x", 99_999))
+	}
+	s.eventually("bodies have arrived", func() bool { return s.guard.held.Load() > 800_000 })
+	qt.Assert(t, s.guard.held.Load() <= defaults.UnfinishedBytes, qt.IsTrue)
+	status, body := answer(send(s.dial(), sized(5)+"hello"))
+	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "5"})
+	status, body = answer(send(s.dial(), sized(250_000)+strings.Repeat("x", 250_000)))
+	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "250000"})
+}
+
+// Guards against memory of whole bodies that wait to be decoded and aren't counted, and
+// against a refusal that says anything else than 503 then.
+func TestRequestIsRefusedWhileWholeOnesFillTheBudget(t *testing.T) {
+	s := newServer(t, defaults)
+	hold := make(chan struct{})
+	s.hold.Store(&hold)
+	var whole []net.Conn
+	for i := range 5 {
+		whole = append(whole, send(s.dial(), sized(200_000)+strings.Repeat("x", 200_000)))
+		s.eventually("arrived", func() bool { return s.guard.held.Load() >= int64(200_000*(i+1)) })
+	}
+	status, _ := answer(send(s.dial(), sized(100_000)+strings.Repeat("x", 100_000)))
+	s.Assert(status, qt.Equals, 503)
+	close(hold)
+	for _, c := range whole {
+		status, body := answer(c)
+		s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "200000"})
+	}
+	s.hold.Store(nil)
+}
+
+// Guards against silent connections that keep new ones out, and against a request in
+// progress that is closed for a new connection.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	l := defaults
+	l.Callers = 3
+	s := newServer(t, l)
+	hold := make(chan struct{})
+	s.hold.Store(&hold)
+	inProgress := send(s.dial(), sized(1)+"x")
+	s.eventually("in progress", func() bool { return s.states()[serving] == 1 })
+	for range 8 {
+		send(s.dial(), "GET / HTTP/1.1\r\n")
+	}
+	last := send(s.dial(), sized(2)+"xy")
+	s.eventually("the new request is in progress", func() bool { return s.states()[serving] == 2 })
+	close(hold)
+	for c, want := range map[net.Conn]string{inProgress: "1", last: "2"} {
+		status, body := answer(c)
+		s.Assert([]any{status, body}, qt.DeepEquals, []any{200, want})
+	}
+}
+
+// states counts the connections by phase.
+func (s *server) states() map[phase]int {
+	s.guard.mu.Lock()
+	defer s.guard.mu.Unlock()
+	counts := map[phase]int{}
+	for _, c := range s.guard.listeners[0].conns {
+		counts[c.snapshot().phase]++
+	}
+	return counts
+}
+
+// Guards against a body that makes no progress and is never answered, and against one that
+// is read for a long time and ends the wait of the handler for its answer.
+func TestBodyTimeouts(t *testing.T) {
+	s := newServer(t, defaults)
+	stalled := send(s.dial(), sized(10)+"x")
+	s.eventually("in the handler", func() bool {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		for _, c := range s.guard.listeners[0].conns {
+			c.mu.Lock()
+			inBody := c.inBody && !c.readDeadline.IsZero()
+			c.mu.Unlock()
+			if inBody {
+				// The time is over.
+				_ = c.SetReadDeadline(time.Now().Add(-time.Second))
+				return true
+			}
+		}
+		return false
+	})
+	status, _ := answer(stalled)
+	s.Assert(status, qt.Equals, 408)
+	s.free(0)
+
+	hold := make(chan struct{})
+	s.hold.Store(&hold)
+	c := send(s.dial(), sized(2)+"x")
+	s.eventually("the first byte is charged", func() bool { return s.guard.held.Load() > 0 })
+	send(c, "y")
+	s.eventually("decoding", func() bool { return s.states()[serving] == 1 })
+	s.guard.mu.Lock()
+	conn := s.guard.listeners[0].conns[0]
+	s.guard.mu.Unlock()
+	s.eventually("no deadline while the handler works", func() bool {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return conn.readDeadline.IsZero()
+	})
+	close(hold)
+	status, body := answer(c)
+	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "2"})
+}
+
+// Guards against large unfinished requests that are read as fast as the processor allows
+// while they are many, and against one that is slowed down alone.
+func TestManyLargeRequestsArePaced(t *testing.T) {
+	l := defaults
+	l.UnfinishedBytes, l.PacedBytesPerSecond = 64<<20, 1<<10
+	s := newServer(t, l)
+	for i := range calmRequests + 1 {
+		send(s.dial(), sized(100_000)+strings.Repeat("x", largeBytes+5000))
+		s.eventually("not slowed down", func() bool { return s.guard.large.Load() > int64(i) })
+	}
+	// The burst is spent by one more request; another one has to wait then.
+	for range 3 {
+		go send(s.dial(), sized(250_000)+strings.Repeat("x", 250_000))
+	}
+	s.eventually("paced", func() bool { return s.guard.pace.Tokens() < 0 })
+	// Small requests go on.
+	status, body := answer(send(s.dial(), sized(5000)+strings.Repeat("x", 5000)))
+	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "5000"})
+}
+
+// Guards against connections at the address for entries that send no first message and keep
+// entries out, and against an entry that is closed for a newer connection.
+func TestGreetings(t *testing.T) {
+	g := NewGuard(Options{Limits: defaults})
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := g.ListenForEntries(raw)
+	defer func() { _ = l.Close() }()
+	connect := func() (client net.Conn, accepted *Conn) {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = client.Close() })
+		conn, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		return client, conn.(*Conn)
+	}
+	_, entry := connect()
+	entry.Greeted()
+	var silent []*Conn
+	for range 5 {
+		_, c := connect()
+		silent = append(silent, c)
+	}
+	for i, c := range append(silent, entry) {
+		c.mu.Lock()
+		ended := c.ended
+		c.mu.Unlock()
+		qt.Check(t, ended, qt.Equals, i < 3, qt.Commentf("connection %d", i))
+	}
+	// An unfinished message of an entry counts, and a whole one is given back.
+	client, c := connect()
+	c.Greeted()
+	send(client, "12345")
+	_, err = io.ReadFull(c, make([]byte, 5))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g.held.Load(), qt.Equals, int64(5))
+	c.Received()
+	qt.Assert(t, g.held.Load(), qt.Equals, int64(0))
+}
+
+// Guards against a cost that ordinary requests notice.
+func BenchmarkRequest(b *testing.B) {
+	for _, guarded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("guarded=%v", guarded), func(b *testing.B) {
+			s := &server{C: qt.New(b), guard: NewGuard(Options{Limits: defaults})}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(b, err, qt.IsNil)
+			h := &http.Server{Handler: http.HandlerFunc(s.serve)}
+			if guarded {
+				h, listener = s.guard.Protect(h), s.guard.ListenForCallers(listener)
+			}
+			go func() { _ = h.Serve(listener) }()
+			defer func() { _ = h.Close() }()
+			c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", listener.Addr().String())
+			qt.Assert(b, err, qt.IsNil)
+			defer func() { _ = c.Close() }()
+			request, buf := []byte(sized(300)+strings.Repeat("x", 300)), make([]byte, 1000)
+			for b.Loop() {
+				_, _ = c.Write(request)
+				_, _ = c.Read(buf)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/intake/report.go
@@ -0,0 +1,85 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sesamelift/sesamelift/decisions"
+)
+
+// reason is why a connection or request was refused.
+type reason uint8
+
+const (
+	noRoom reason = iota
+	tooManyConnections
+	tooManyGreetings
+	tooManyBytes
+	bodyTimedOut
+	bodyTooLarge
+	reasonCount
+)
+
+// reasonNames are the label values of the counter.
+var reasonNames = [reasonCount]string{"no_room", "connections", "greetings", "bytes", "timeout", "too_large"}
+
+// refusalLogInterval is the shortest time between two lines for one reason.
+const refusalLogInterval = time.Second
+
+// refusals counts refusals and logs each reason at most once in refusalLogInterval.
+type refusals struct {
+	log     func(decisions.Line)
+	metrics tally.Scope
+	now     func() time.Time
+
+	mu       sync.Mutex
+	counters map[string]*[reasonCount]tally.Counter
+	unlogged [reasonCount]int
+	loggedAt [reasonCount]time.Time
+}
+
+func newRefusals(log func(decisions.Line), metrics tally.Scope) *refusals {
+	return &refusals{log: log, metrics: metrics, now: time.Now, counters: map[string]*[reasonCount]tally.Counter{}}
+}
+
+// add counts a refusal at an address.
+func (r *refusals) add(address string, why reason) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byReason := r.counters[address]
+	if byReason == nil {
+		byReason = new([reasonCount]tally.Counter)
+		r.counters[address] = byReason
+	}
+	if byReason[why] == nil {
+		byReason[why] = r.metrics.Tagged(map[string]string{"address": address, "reason": reasonNames[why]}).Counter("intake_refused_total")
+	}
+	byReason[why].Inc(1)
+	r.unlogged[why]++
+	if !r.loggedAt[why].IsZero() && now.Sub(r.loggedAt[why]) < refusalLogInterval {
+		return
+	}
+	r.log(line(why, address, r.unlogged[why]))
+	r.unlogged[why], r.loggedAt[why] = 0, now
+}
+
+// line returns the log line for count refusals, of which the last was at an address.
+func line(why reason, address string, count int) decisions.Line {
+	fields := []any{"address", address, "count", count}
+	switch why {
+	case noRoom:
+		return decisions.Warn("connections refused: the bound is reached and all serve requests", fields...)
+	case tooManyConnections:
+		return decisions.Warn("connections closed to make room for new ones", fields...)
+	case tooManyGreetings:
+		return decisions.Warn("connections closed that had sent no hello message, to make room for new ones", fields...)
+	case tooManyBytes:
+		return decisions.Warn("unfinished requests closed or refused: they hold too many bytes", fields...)
+	case bodyTimedOut:
+		return decisions.Warn("requests refused: their body did not arrive in time", fields...)
+	}
+	return decisions.Warn("requests refused: their body is too large", fields...)
+}
