Bound the connections of entries at an agent

A connection without a hello message kept its goroutines, queue and buffers for a second, and nothing bounded how many there were.

--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -22,6 +22,7 @@
 
 	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/link"
 	"github.com/sesamelift/sesamelift/runner"
 	"github.com/sesamelift/sesamelift/timing"
@@ -100,8 +101,10 @@
 	// StoreAnnouncement is called with each runner.Actions.Worker, to store it. It
 	// must not block.
 	StoreAnnouncement func(runner.Announcement)
-	Log               *decisions.Log
-	Metrics           tally.Scope
+	// Guard bounds the connections of entries; nil for no bounds.
+	Guard   *intake.Guard
+	Log     *decisions.Log
+	Metrics tally.Scope
 }
 
 // Agent serves entries and controls the worker. Its methods are safe for
@@ -136,6 +139,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for entries")
 	}
+	if o.Guard != nil {
+		l = o.Guard.ListenForEntries(l)
+	}
 	return &Agent{
 		opts: o, listener: l, events: make(chan func(time.Duration), eventQueueSize), done: make(chan struct{}),
 		renewals: make(chan runner.RenewCall, renewConcurrency), starts: make(chan runner.StartCall, callQueueSize), stops: make(chan runner.StopCall, callQueueSize),
@@ -374,19 +380,25 @@
 			time.Sleep(tickInterval)
 			continue
 		}
-		go a.serveEntry(link.NewConn(conn))
+		go a.serveEntry(conn)
 	}
 }
 
-func (a *Agent) serveEntry(conn *link.Conn) {
+func (a *Agent) serveEntry(raw net.Conn) {
+	conn := link.NewConn(raw)
 	defer conn.Close()
+	// bounded is nil without Options.Guard.
+	bounded, _ := raw.(*intake.Conn)
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	var h link.Hello
-	if err := conn.Read(&h); err != nil || h.Protocol != link.Protocol {
+	if err := conn.ReadFirst(&h); err != nil || h.Protocol != link.Protocol {
 		a.opts.Log.Add(decisions.Warn("connection rejected: no valid hello message", "protocol", h.Protocol))
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	if bounded != nil {
+		bounded.Greeted()
+	}
 	if conn.Send(&link.Welcome{Protocol: link.Protocol, Agent: a.opts.Name, Incarnation: a.opts.Incarnation, ClockMS: clock.SinceBoot().Milliseconds()}) != nil {
 		return
 	}
@@ -410,6 +422,9 @@
 			})
 			return
 		}
+		if bounded != nil {
+			bounded.Received()
+		}
 		a.enqueue(func(now time.Duration) {
 			// The messages of a connection that has ended are handled before its end. Once
 			// the entry has lost the connection, it starts the tasks elsewhere.
