Apply the bounds of package intake to all addresses of an entry and an agent

Clients that sent 250,000 bytes of a body of 250,001 and stopped raised the memory of an entry to 571 MB, far beyond that of its host, and one-byte chunks kept its event loop from running, so that ordinary callers got no answer. Each server now has a guarded listener with a bound of its own: callers, readiness, directory, metrics, the worker of an agent, and entries. Bodies are read by intake.ReadBody: 413, 408 or 503 with Retry-After and 'not run', and the connection is closed. A member row that is announced has at most 64 KiB.

Tests of host, platform and dispatchd pass with -race.

--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamelift/sesamelift/directory"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -36,8 +37,10 @@
 	// peerTimeout limits a query beyond the time that the other entry may wait.
 	peerTimeout = 400 * time.Millisecond
 	// maxPeerReplyBytes limits a reply, which can hold a configuration of thousands
-	// of routes and 900 members. It also limits a member row that is announced.
+	// of routes and 900 members.
 	maxPeerReplyBytes = 8 << 20
+	// maxMemberBytes limits a member row that is announced. Rows have about 200 bytes.
+	maxMemberBytes = 64 << 10
 	// maxPolledPeers limits the entries that are queried: entries of the directory are
 	// added to the seeds up to this number. Seeds are queried even beyond it.
 	maxPolledPeers = 5
@@ -79,13 +82,25 @@
 		return c.JSON(http.StatusOK, reply)
 	})
 	e.POST(directory.Path, func(c echo.Context) error {
-		body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxPeerReplyBytes))
-		if err != nil {
+		var m directory.Member
+		reject := func(body []byte, err error) {
+			d.rejectMember("announced by "+c.RealIP(), body, "its announcement", err)
+		}
+		err := intake.ReadBody(c.Request(), maxMemberBytes, func(body []byte) (err error) {
+			if m, err = directory.UnmarshalMember(body); err != nil {
+				reject(body, err)
+			}
+			return err
+		})
+		if errors.Is(err, intake.ErrTooLarge) {
+			// Too large for a member, and rejected like anything else that is none.
+			reject(nil, err)
 			return c.NoContent(http.StatusBadRequest)
 		}
-		m, err := directory.UnmarshalMember(body)
+		if status, ok := intake.Status(c.Response(), err); ok {
+			return c.NoContent(status)
+		}
 		if err != nil {
-			d.rejectMember("announced by "+c.RealIP(), body, "its announcement", err)
 			return c.NoContent(http.StatusBadRequest)
 		}
 		d.mergeMembers([]directory.Member{m}, "announced by itself")
--- a/host/agent.go
+++ b/host/agent.go
@@ -23,7 +23,7 @@
 	announcements := make(chan any, 1)
 	a, err := runnerd.New(runnerd.Options{
 		Name: s.Name, Incarnation: p.incarnation, LinkAddress: s.LinkAddress, Timings: p.timings, MaxStopTime: s.Bounds.MaxStopTime,
-		GracePeriod: s.GracePeriod, Worker: platform.NewWorkerClient(s.WorkerAddress), Log: p.log, Metrics: p.metrics,
+		GracePeriod: s.GracePeriod, Worker: platform.NewWorkerClient(s.WorkerAddress), Guard: p.guard, Log: p.log, Metrics: p.metrics,
 		StoreAnnouncement: func(announcement runner.Announcement) {
 			// Only the most recent announcement is stored, so a pending one is replaced.
 			select {
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a, s.WorkerService)); err != nil {
+	if _, err := p.addServer("worker", s.ControlAddress, platform.AnnouncementHandler(a, s.WorkerService), p.serviceListener("worker")); err != nil {
 		return err
 	}
 	p.group.Add(func() error { a.Run(p.drainCtx); return nil }, func(error) {})
--- a/host/entry.go
+++ b/host/entry.go
@@ -22,18 +22,17 @@
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
 		GracePeriod: s.GracePeriod, CloseConnections: func() { callerServer.SetKeepAlivesEnabled(false) },
-		Log: p.log, Metrics: p.metrics,
+		WorkBytes: p.limits.WorkBytes, Log: p.log, Metrics: p.metrics,
 	})
 	var err error
-	callerServer, err = p.addServer("callers", s.CallerAddress, closeAfterResponse(d, platform.CallerHandler(d)))
+	callerServer, err = p.addServer("callers", s.CallerAddress, closeAfterResponse(d, platform.CallerHandler(d)), p.guard.ListenForCallers)
 	if err != nil {
 		return err
 	}
-	callerServer.ConnContext = platform.WithCallerConnection
-	if _, err := p.addServer("readiness", s.ReadyAddress, platform.ReadyHandler(d)); err != nil {
+	if _, err := p.addServer("readiness", s.ReadyAddress, platform.ReadyHandler(d), p.serviceListener("readiness")); err != nil {
 		return err
 	}
-	if _, err := p.addServer("directory", s.ControlAddress, d.DirectoryHandler()); err != nil {
+	if _, err := p.addServer("directory", s.ControlAddress, d.DirectoryHandler(), p.serviceListener("directory")); err != nil {
 		return err
 	}
 	p.group.Add(func() error { d.Run(p.drainCtx); return nil }, func(error) {})
--- a/host/host.go
+++ b/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/telemetry"
@@ -37,12 +38,6 @@
 	memoryLimitShare = 0.7
 	// shutdownTimeout bounds the graceful shutdown of an HTTP server.
 	shutdownTimeout = 300 * time.Millisecond
-	// headerTimeout and idleTimeout protect the servers from clients that send
-	// nothing. Clients of the platform close idle connections after 15 s.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds the headers of a request, in bytes.
-	maxHeaderBytes = 64 << 10
 )
 
 // Exit codes.
@@ -59,7 +54,10 @@
 	incarnation uint64
 	log         *decisions.Log
 	metrics     tally.Scope
-	group       run.Group
+	// guard bounds what clients can take from the process.
+	guard  *intake.Guard
+	limits intake.Limits
+	group  run.Group
 	// drainCtx is cancelled by a termination signal. The process then drains.
 	drainCtx context.Context
 }
@@ -129,6 +127,8 @@
 	p := &process{
 		settings: s, timings: t, incarnation: rand.Uint64(), log: log, metrics: scope, drainCtx: drainCtx,
 	}
+	p.limits = intake.Derive(p.resources())
+	p.guard = intake.NewGuard(intake.Options{Limits: p.limits, Log: func(l decisions.Line) { log.Add(l) }, Metrics: scope})
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
 	go func() { log.Run(logCtx); close(logDone) }()
@@ -136,7 +136,7 @@
 	log.Add(decisions.Info("started", "version", version.String(), "incarnation", p.incarnation, "zone", s.Zone,
 		"lease_ms", t.Lease.Milliseconds(), "silence_ms", t.SilenceTimeout.Milliseconds(), "loss_wait_ms", t.RestartDelay.Milliseconds()))
 	p.handleSignals(startDrain, file, agent)
-	if _, err := p.addServer("metrics", s.MetricsAddress, metricsHandler); err != nil {
+	if _, err := p.addServer("metrics", s.MetricsAddress, metricsHandler, p.serviceListener("metrics")); err != nil {
 		return err
 	}
 	if err := setup(p); err != nil {
@@ -182,14 +182,37 @@
 	p.log.Add(decisions.Info("settings file is valid, changes take effect at the next start", "seeds", s.Seeds, "bounds_changed", s.Bounds != p.settings.Bounds))
 }
 
+// resources returns what the process may use according to its settings, and to the system
+// where that is less.
+func (p *process) resources() intake.Resources {
+	r := intake.ProcessResources()
+	r.MemoryBytes, r.Cores = p.settings.MemoryLimit, p.settings.Cores
+	if want := p.settings.MaxDescriptors; want > 0 {
+		if r.Descriptors > 0 && r.Descriptors < want {
+			p.log.Add(decisions.Warn("the file descriptor limit of the process is below that of the settings, fewer connections are accepted",
+				"limit", r.Descriptors, "settings", want))
+			want = r.Descriptors
+		}
+		r.Descriptors = want
+	}
+	return r
+}
+
+// serviceListener returns a function that bounds the connections of a listener which is
+// not for callers.
+func (p *process) serviceListener(name string) func(net.Listener) net.Listener {
+	return func(l net.Listener) net.Listener { return p.guard.ListenForService(name, l) }
+}
+
 // addServer listens on address and serves a handler until the process stops. name
-// identifies the server in errors and log lines.
-func (p *process) addServer(name, address string, h http.Handler) (*http.Server, error) {
+// identifies the server in errors and log lines. bounded bounds the connections.
+func (p *process) addServer(name, address string, h http.Handler, bounded func(net.Listener) net.Listener) (*http.Server, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := p.guard.Protect(&http.Server{Handler: h})
+	l = bounded(l)
 	p.group.Add(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve %s", name)
