Apply the bounds of package intake to the product's own interface

The callers' address of sesamelift-entry and the announce address of sesamelift-agent had no bound on connections and unfinished requests. A submission that the entry can't take in is answered 503 with ran=maybe: another copy of it may have run. The limit of an announcement stays 16 KiB.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,8 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/sesamelift/sesamelift/backend"
+	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/table"
@@ -171,8 +173,13 @@
 	for range a.slotCount {
 		a.addActor(&g, a.runTasks)
 	}
-	server := &http.Server{Handler: a.routes(), ReadHeaderTimeout: readHeaderTimeout}
-	g.Add(func() error { return errors.Wrap(server.Serve(a.listener), "serve the announce address") },
+	guard := intake.NewGuard(intake.Options{
+		Limits: intake.Derive(intake.ProcessResources()), Metrics: a.options.Metrics,
+		Log: func(l decisions.Line) { l.Write(a.log) },
+	})
+	server := guard.Protect(&http.Server{Handler: a.routes(), ReadHeaderTimeout: readHeaderTimeout})
+	listener := guard.ListenForService("announce", a.listener)
+	g.Add(func() error { return errors.Wrap(server.Serve(listener), "serve the announce address") },
 		func(error) { _ = server.Close() })
 	a.addActor(&g, func(context.Context) error { return a.drainOnCancel(ctx) })
 	err := g.Run()
--- a/backend/http.go
+++ b/backend/http.go
@@ -1,21 +1,24 @@
 package backend
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/intake"
 )
 
 const (
 	// maxAnnounceBytes limits the body of an announcement and of a leave request.
 	// An announcement of maxServices names of the maximum length fits.
-	maxAnnounceBytes = "16K"
+	maxAnnounceBytes = 16 << 10
 	maxServices      = 64
 )
 
@@ -40,16 +43,21 @@
 
 // Register adds to e the routes for requests of the backend server.
 func (s *Server) Register(e *echo.Echo) {
-	limit := middleware.BodyLimit(maxAnnounceBytes)
-	e.POST("/announce", s.handleAnnounce, limit)
-	e.POST("/leave", s.handleLeave, limit)
+	e.POST("/announce", s.handleAnnounce)
+	e.POST("/leave", s.handleLeave, middleware.BodyLimit(strconv.Itoa(maxAnnounceBytes)))
 }
 
 func (s *Server) handleAnnounce(c echo.Context) error {
 	var a Announcement
 	// The content type is ignored, so that announcements sent with curl need no
 	// Content-Type header.
-	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
+	err := intake.ReadBody(c.Request(), maxAnnounceBytes, func(body []byte) error {
+		return json.NewDecoder(bytes.NewReader(body)).Decode(&a)
+	})
+	if status, ok := intake.Status(c.Response(), err); ok {
+		return echo.NewHTTPError(status)
+	}
+	if err != nil {
 		return c.JSON(http.StatusBadRequest, Reply{Error: "the body is not JSON with name, address and services"})
 	}
 	if msg := a.validate(); msg != "" {
--- a/decisions/log.go
+++ b/decisions/log.go
@@ -119,12 +119,15 @@
 	}
 }
 
-func (l *Log) write(line timestampedLine) {
-	fields := make(logrus.Fields, len(line.Fields)/2)
-	for i := 0; i+1 < len(line.Fields); i += 2 {
-		if name, ok := line.Fields[i].(string); ok {
-			fields[name] = line.Fields[i+1]
+func (l *Log) write(line timestampedLine) { line.Write(l.out.WithTime(line.at)) }
+
+// Write writes the line to out at once.
+func (l Line) Write(out *logrus.Entry) {
+	fields := make(logrus.Fields, len(l.Fields)/2)
+	for i := 0; i+1 < len(l.Fields); i += 2 {
+		if name, ok := l.Fields[i].(string); ok {
+			fields[name] = l.Fields[i+1]
 		}
 	}
-	l.out.WithTime(line.at).WithFields(fields).Log(line.Level, line.Message)
+	out.WithFields(fields).Log(l.Level, l.Message)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,9 @@
 
 	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/config/watch"
+	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/ownership"
 	"github.com/sesamelift/sesamelift/settings"
 	"github.com/sesamelift/sesamelift/table"
@@ -144,7 +146,12 @@
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, workCtx := errgroup.WithContext(workCtx)
-	server := e.ingress.HTTPServer()
+	guard := intake.NewGuard(intake.Options{
+		Limits: intake.Derive(intake.ProcessResources()), Metrics: e.options.Metrics,
+		Log: func(l decisions.Line) { l.Write(e.log) },
+	})
+	server := guard.Protect(e.ingress.HTTPServer())
+	listener := guard.ListenForCallers(e.httpListener)
 	loops := []func(context.Context) error{
 		e.eventLoop, e.rosterLoop, e.configLoop, e.ownershipLoop, e.peers.loop, e.logLoop, e.acceptLoop,
 	}
@@ -152,7 +159,7 @@
 		g.Go(func() error { return loop(workCtx) })
 	}
 	g.Go(func() error {
-		if err := server.Serve(e.httpListener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
--- a/ingress/handlers.go
+++ b/ingress/handlers.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/telemetry/tracing"
 )
 
@@ -26,7 +27,10 @@
 	if err != nil {
 		return s.refuse(c, api.Refuse(api.ReasonMalformed, fmt.Sprintf("header %s: %v", KeyHeader, err)))
 	}
-	sub, v := s.parseSubmission(c)
+	sub, v, err := s.parseSubmission(c)
+	if status, ok := intake.Status(c.Response(), err); ok {
+		return c.JSON(status, v.Answer(key, false))
+	}
 	if v == nil && sub.Team != c.Get(teamContextKey).(string) {
 		v = api.Fail(api.RanMaybe, api.ReasonUnauthorized, fmt.Sprintf("the token does not belong to team %q", sub.Team))
 	}
@@ -46,16 +50,31 @@
 
 // parseSubmission reads a submission. An invalid body is refused with api.RanNo,
 // because every entry refuses the same body, so that no copy of it can run. Of a body
-// that was cut off the rest isn't known, and a whole copy may have run.
-func (s *Server) parseSubmission(c echo.Context) (*api.Submission, *api.Verdict) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, api.MaxJobBytes))
-	var tooLarge *http.MaxBytesError
+// that was cut off the rest isn't known, and a whole copy may have run. The error is that
+// of intake.ReadBody.
+func (s *Server) parseSubmission(c echo.Context) (sub *api.Submission, v *api.Verdict, err error) {
+	decoded := false
+	err = intake.ReadBody(c.Request(), api.MaxJobBytes, func(body []byte) error {
+		decoded = true
+		sub, v = decodeSubmission(body)
+		return nil
+	})
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, api.Refuse(api.ReasonTooLarge, fmt.Sprintf("the body has more than %d bytes", api.MaxJobBytes))
-	case err != nil:
-		return nil, api.Fail(api.RanMaybe, api.ReasonMalformed, "the body was cut off")
+	case decoded:
+	case errors.Is(err, intake.ErrTooLarge):
+		v = api.Refuse(api.ReasonTooLarge, fmt.Sprintf("the body has more than %d bytes", api.MaxJobBytes))
+	case errors.Is(err, intake.ErrBusy):
+		v = api.Fail(api.RanMaybe, api.ReasonOverload, err.Error())
+		v.RetryAfter = intake.RetryAfter
+	case errors.Is(err, intake.ErrTimeout):
+		v = api.Fail(api.RanMaybe, api.ReasonMalformed, err.Error())
+	default:
+		v = api.Fail(api.RanMaybe, api.ReasonMalformed, "the body was cut off")
 	}
+	return sub, v, err
+}
+
+func decodeSubmission(body []byte) (*api.Submission, *api.Verdict) {
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	var sub api.Submission
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -95,8 +95,9 @@
 const (
 	// Limits of the HTTP server.
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// readTimeout is that of package intake for a whole body.
+	readTimeout = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
 	// writeTimeout is longer than the longest deadline of a job, whose answer may
 	// be the response.
 	writeTimeout   = api.MaxDeadline + time.Minute
