--- a/docs/logmessages_test.go
+++ b/docs/logmessages_test.go
@@ -42,7 +42,7 @@
 func TestLogMessagesAreExplained(t *testing.T) {
 	page, err := os.ReadFile("operators/log-messages.md")
 	qt.Assert(t, err, qt.IsNil)
-	for _, dir := range []string{"entry", "agent", "backend", "ingress", "cmd", "config/watch", "transport"} {
+	for _, dir := range []string{"entry", "agent", "backend", "ingress", "cmd", "config/watch", "transport", "intake"} {
 		err := filepath.WalkDir("../"+dir, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
