Cut long texts in log lines

An error that quotes a number of 250,000 digits in a job stayed in the queue of 2,048 lines, together 500 MB. Texts of more than 8 KiB are cut when a line is queued. Tests of decisions pass with -race.

--- a/decisions/log.go
+++ b/decisions/log.go
@@ -18,6 +18,9 @@
 	// queueSize bounds the lines that wait to be written. It holds what an entry
 	// that takes 100 jobs per second logs in two seconds.
 	queueSize = 2048
+	// maxValueBytes bounds a text in a line, in bytes. Texts that quote what a client has sent
+	// would otherwise take a thousand times the memory of an ordinary line while they wait.
+	maxValueBytes = 8 << 10
 	// dropReportInterval is how often the number of dropped lines is logged.
 	dropReportInterval = time.Second
 	// flushTimeout bounds how long Run continues to write after its context ended.
@@ -68,6 +71,11 @@
 func (l *Log) Add(lines ...Line) {
 	now := time.Now()
 	for _, line := range lines {
+		for i, field := range line.Fields {
+			if text, ok := field.(string); ok && len(text) > maxValueBytes {
+				line.Fields[i] = text[:maxValueBytes] + "..."
+			}
+		}
 		select {
 		case l.queue <- timestampedLine{line, now}:
 		default:
--- a/decisions/log_test.go
+++ b/decisions/log_test.go
@@ -75,3 +75,15 @@
 	qt.Assert(t, b.String(), qt.Contains, `"table":"op"`)
 	qt.Assert(t, b.String(), qt.Contains, `"version":7`)
 }
+
+// Guards against texts of hundreds of kilobytes that clients have sent and that wait in the
+// queue two thousand at a time.
+func TestLongTextsAreCut(t *testing.T) {
+	l, b := newTestLog()
+	l.Add(Info("x", "error", strings.Repeat("9", 250_000), "n", 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.Run(ctx)
+	qt.Assert(t, b.Len() < 2*maxValueBytes, qt.IsTrue)
+	qt.Assert(t, b.String(), qt.Contains, `9..."`)
+}
