Log rejected connections at the link address at most once a second

Each connection without a valid hello message left a line; 400 of them left 400 at once. They are counted, and one line a second says how many there were, with the protocol version that the last one named. Tests of intake, runnerd and docs pass with -race.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -197,6 +197,12 @@
 	c.Received()
 }
 
+// NotGreeted says that the first message was not valid. protocol is the version that it
+// names, 0 if it is none. The program closes the connection.
+func (c *Conn) NotGreeted(protocol int) {
+	c.guard.refusals.add(c.listener.name, badGreeting, "protocol", protocol)
+}
+
 // Received says that a whole message has arrived.
 func (c *Conn) Received() { c.enter(idle, false, true) }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -122,7 +122,8 @@
 	s.Assert(err, qt.IsNil)
 	s.addr = listener.Addr().String()
 	h := s.guard.Protect(&http.Server{Handler: http.HandlerFunc(s.serve)})
-	go func() { _ = h.Serve(s.guard.ListenForCallers(listener)) }()
+	listener = s.guard.ListenForCallers(listener)
+	go func() { _ = h.Serve(listener) }()
 	t.Cleanup(func() { _ = h.Close() })
 	return s
 }
--- a/intake/report.go
+++ b/intake/report.go
@@ -16,6 +16,7 @@
 	noRoom reason = iota
 	tooManyConnections
 	tooManyGreetings
+	badGreeting
 	tooManyBytes
 	bodyTimedOut
 	bodyTooLarge
@@ -23,7 +24,7 @@
 )
 
 // reasonNames are the label values of the counter.
-var reasonNames = [reasonCount]string{"no_room", "connections", "greetings", "bytes", "timeout", "too_large"}
+var reasonNames = [reasonCount]string{"no_room", "connections", "greetings", "no_hello", "bytes", "timeout", "too_large"}
 
 // refusalLogInterval is the shortest time between two lines for one reason.
 const refusalLogInterval = time.Second
@@ -44,8 +45,8 @@
 	return &refusals{log: log, metrics: metrics, now: time.Now, counters: map[string]*[reasonCount]tally.Counter{}}
 }
 
-// add counts a refusal at an address.
-func (r *refusals) add(address string, why reason) {
+// add counts a refusal at an address. fields are added to its log line.
+func (r *refusals) add(address string, why reason, fields ...any) {
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,13 +63,12 @@
 	if !r.loggedAt[why].IsZero() && now.Sub(r.loggedAt[why]) < refusalLogInterval {
 		return
 	}
-	r.log(line(why, address, r.unlogged[why]))
+	r.log(line(why, append([]any{"address", address, "count", r.unlogged[why]}, fields...)))
 	r.unlogged[why], r.loggedAt[why] = 0, now
 }
 
-// line returns the log line for count refusals, of which the last was at an address.
-func line(why reason, address string, count int) decisions.Line {
-	fields := []any{"address", address, "count", count}
+// line returns the log line for refusals.
+func line(why reason, fields []any) decisions.Line {
 	switch why {
 	case noRoom:
 		return decisions.Warn("connections refused: the bound is reached and all serve requests", fields...)
@@ -76,6 +76,8 @@
 		return decisions.Warn("connections closed to make room for new ones", fields...)
 	case tooManyGreetings:
 		return decisions.Warn("connections closed that had sent no hello message, to make room for new ones", fields...)
+	case badGreeting:
+		return decisions.Warn("connections rejected: no valid hello message", fields...)
 	case tooManyBytes:
 		return decisions.Warn("unfinished requests closed or refused: they hold too many bytes", fields...)
 	case bodyTimedOut:
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -392,7 +392,9 @@
 	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	var h link.Hello
 	if err := conn.ReadFirst(&h); err != nil || h.Protocol != link.Protocol {
-		a.opts.Log.Add(decisions.Warn("connection rejected: no valid hello message", "protocol", h.Protocol))
+		if bounded != nil {
+			bounded.NotGreeted(int(h.Protocol))
+		}
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
