--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -84,7 +85,10 @@
 	e.POST(directory.Path, func(c echo.Context) error {
 		var m directory.Member
 		reject := func(body []byte, err error) {
-			d.rejectMember("announced by "+c.RealIP(), body, "its announcement", err)
+			// The address of the connection, not one that a header names: rejected rows are
+			// remembered by it, and a header may have 28 KiB.
+			sender, _, _ := net.SplitHostPort(c.Request().RemoteAddr)
+			d.rejectMember("announced by "+sender, body, "its announcement", err)
 		}
 		err := intake.ReadBody(c.Request(), maxMemberBytes, func(body []byte) (err error) {
 			if m, err = directory.UnmarshalMember(body); err != nil {
