Report refusals without the lock of the guard

The product's daemons write their log lines at once; a slow output would have kept connections from being accepted. Tests of intake pass with -race.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -160,14 +160,24 @@
 func (l *listener) add(tcp *net.TCPConn) *Conn {
 	g := l.guard
 	now := g.now()
+	// Refusals are reported without the lock, since the output of the log may be slow.
+	var closed []reason
+	defer func() {
+		for _, r := range closed {
+			g.refusals.add(l.name, r)
+		}
+	}()
 	c := &Conn{TCPConn: tcp, guard: g, listener: l, closed: make(chan struct{}), state: connState{acceptedAt: now, lastRead: now}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.maxGreetings > 0 && l.greetings >= l.maxGreetings {
-		l.evict(now, (*Conn).greetingState, olderGreeting, tooManyGreetings)
+	if l.maxGreetings > 0 && l.greetings >= l.maxGreetings && l.evict(now, (*Conn).greetingState, olderGreeting) {
+		closed = append(closed, tooManyGreetings)
 	}
-	if len(l.conns) >= l.bound && !l.evict(now, (*Conn).unservedState, silentLonger, tooManyConnections) {
-		return nil
+	if len(l.conns) >= l.bound {
+		if !l.evict(now, (*Conn).unservedState, silentLonger) {
+			return nil
+		}
+		closed = append(closed, tooManyConnections)
 	}
 	c.index = len(l.conns)
 	l.conns = append(l.conns, c)
@@ -178,12 +188,11 @@
 
 // evict closes the connection that comes first and reports whether there was one. The
 // caller holds guard.mu.
-func (l *listener) evict(now time.Duration, state func(*Conn) (connState, bool), before preferable, r reason) bool {
+func (l *listener) evict(now time.Duration, state func(*Conn) (connState, bool), before preferable) bool {
 	i := choose(now, len(l.conns), func(i int) (connState, bool) { return state(l.conns[i]) }, before)
 	if i < 0 {
 		return false
 	}
-	l.guard.refusals.add(l.name, r)
 	c := l.conns[i]
 	l.remove(c)
 	c.end()
@@ -211,6 +220,12 @@
 // the limit. It returns false if those of own should not be read on: there is no other
 // connection to close.
 func (g *Guard) freeBytes(own *Conn) bool {
+	var closed []*Conn
+	defer func() {
+		for _, c := range closed {
+			g.refusals.add(c.listener.name, tooManyBytes)
+		}
+	}()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for g.held.Load() > g.limits.UnfinishedBytes {
@@ -229,7 +244,7 @@
 		if best == nil || best == own {
 			return false
 		}
-		g.refusals.add(best.listener.name, tooManyBytes)
+		closed = append(closed, best)
 		best.listener.remove(best)
 		best.end()
 	}
