Let connections be read before they are closed for new ones

With one processor an entry accepted a burst of 1,500 connections before it read from the first of them, and closed ordinary callers whose request had arrived. A new connection now waits until the one that would be closed for it has been silent for 50 ms.

Tests of intake pass with -race.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -147,6 +147,9 @@
 			_ = raw.Close()
 			return nil, errors.Errorf("connection of type %T is not a TCP connection", raw)
 		}
+		if wait := l.settleTime(); wait > 0 {
+			time.Sleep(wait)
+		}
 		if c := l.add(tcp); c != nil {
 			return c, nil
 		}
@@ -155,6 +158,22 @@
 	}
 }
 
+// settleTime returns how long a new connection waits so that the one which would be closed
+// for it has been silent for minSilence.
+func (l *listener) settleTime() time.Duration {
+	l.guard.mu.Lock()
+	defer l.guard.mu.Unlock()
+	if len(l.conns) < l.bound {
+		return 0
+	}
+	now := l.guard.now()
+	i := choose(now, len(l.conns), func(i int) (connState, bool) { return l.conns[i].unservedState() }, silentLonger)
+	if i < 0 {
+		return 0
+	}
+	return minSilence - (now - l.conns[i].snapshot().lastRead)
+}
+
 // add makes room for a connection, by closing another one if necessary. It returns nil if
 // there is none to close.
 func (l *listener) add(tcp *net.TCPConn) *Conn {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -61,6 +61,10 @@
 	maxService = 256
 	// defaultFDs is assumed when neither the settings nor the system say more.
 	defaultFDs = 1024
+	// minSilence is how long a connection has been silent at least when it is closed for a
+	// new one. In a burst of connections the requests of the first ones have not been read
+	// when the last ones are accepted.
+	minSilence = 50 * time.Millisecond
 	// maxGreetings bounds the connections at the link address whose first message has not
 	// arrived: entries send it at once, and there are about a dozen of them.
 	maxGreetings = 64
