Give each part of an answer its own write time-out

Callers that read a long answer slowly but steadily lost their connection in the middle of it: Write set one deadline of 15 s for the whole slice. Each part of at most 64 KiB has a deadline of its own now. The system reports room in a full send buffer only when a third of it is free, so a part that timed out is tried once more: a peer that has taken less than that in the meantime has still made progress.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -206,13 +206,34 @@
 // Received says that a whole message has arrived.
 func (c *Conn) Received() { c.enter(idle, false, true) }
 
-// Write writes to the connection. A peer that does not read for progressTimeout is treated
-// as gone: it would occupy its place without end.
+// Write writes to the connection. A peer that takes nothing for the write time-out is
+// treated as gone: it would occupy its place without end. One that reads slowly is not.
 func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(progressTimeout)); err != nil {
-		return 0, err
+	written, probing := 0, false
+	for {
+		timeout := c.guard.writeTimeout
+		if probing {
+			timeout /= writeProbeShare
+		}
+		deadline := time.Now().Add(timeout)
+		if err := c.SetWriteDeadline(deadline); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(p[written:min(written+maxWriteBytes, len(p))])
+		written += n
+		switch {
+		case err == nil && written == len(p):
+			return written, nil
+		case err == nil || n > 0 && errors.Is(err, os.ErrDeadlineExceeded):
+			probing = false
+		case probing || !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().Before(deadline):
+			return written, err
+		default:
+			// The system reports room in the send buffer only when a third of it is free. A
+			// further write finds out whether the peer has taken less than that.
+			probing = true
+		}
 	}
-	return c.TCPConn.Write(p)
 }
 
 // Close implements net.Conn.
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -48,6 +48,8 @@
 	// decodes limits the large bodies that are decoded at the same time.
 	decodes chan struct{}
 	base    time.Time
+	// writeTimeout is how long a peer may take nothing of what is written to it.
+	writeTimeout time.Duration
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -64,6 +66,7 @@
 	return &Guard{
 		limits: o.Limits, log: o.Log, refusals: newRefusals(o.Log, o.Metrics), metrics: o.Metrics,
 		pace: rate.NewLimiter(rate.Limit(o.Limits.PacedBytesPerSecond), paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
+		writeTimeout: progressTimeout,
 	}
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -426,6 +427,42 @@
 	qt.Assert(t, g.held.Load(), qt.Equals, int64(0))
 }
 
+// Guards against a peer that reads slowly and is cut off in the middle of a long answer, and
+// against one that reads nothing and is written to without end.
+func TestWriteTimeout(t *testing.T) {
+	const size = 12 << 20
+	g := NewGuard(Options{Limits: defaults})
+	g.writeTimeout = 500 * time.Millisecond
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := g.ListenForCallers(raw)
+	defer func() { _ = l.Close() }()
+	write := func() (client net.Conn, result chan error) {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = client.Close() })
+		conn, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		result = make(chan error, 1)
+		go func() {
+			_, err := conn.Write(make([]byte, size))
+			_ = conn.Close()
+			result <- err
+		}()
+		return client, result
+	}
+	slow, result := write()
+	buf := make([]byte, 64<<10)
+	for total := 0; total < size; total += len(buf) {
+		_, err := io.ReadFull(slow, buf)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("after %d bytes", total))
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, <-result, qt.IsNil)
+	_, result = write()
+	qt.Assert(t, <-result, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
+
 // Guards against a cost that ordinary requests notice.
 func BenchmarkRequest(b *testing.B) {
 	for _, guarded := range []bool{false, true} {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -20,6 +20,10 @@
 	// may take in all. At the largest body of 262,144 bytes the latter is 2.2 kB/s.
 	progressTimeout = 15 * time.Second
 	bodyTimeout     = 120 * time.Second
+	// maxWriteBytes is how much is written with one deadline, and writeProbeShare the part of
+	// the time-out, as one in so many, for the last try to write.
+	maxWriteBytes   = 64 << 10
+	writeProbeShare = 8
 	// largeBytes is the size from which an unfinished request counts as large, in bytes:
 	// jobs of ordinary callers have at most 6,000. A body above it is decoded together with
 	// at most maxDecodes-1 others.
