Close idle connections before young ones at the connection bound

At the bound a process accepted 20 new connections a second although hundreds were idle: the connection just accepted was the first choice to be closed for the next one, and the listener slept 50 ms each time so that its request could be read. Connections silent for less than minSilence are the last choice now, in any phase. The listener waits only if all are that young, in short steps, and chooses again.

--- a/intake/choose.go
+++ b/intake/choose.go
@@ -21,6 +21,9 @@
 	held int64
 	// acceptedAt is when the connection was accepted, lastRead when it last sent something.
 	acceptedAt, lastRead time.Duration
+	// young says that the connection has been silent, or open, for less than minSilence:
+	// what it has sent may not have been read yet.
+	young bool
 }
 
 // preferable reports whether a connection in state a is closed rather than one in state b.
@@ -28,8 +31,11 @@
 
 // silentLonger makes room for a new connection. The connections without a whole request
 // go first, those silent longest before others. Connections that wait between two requests
-// go only after them.
+// go only after them, and young ones of any phase last.
 func silentLonger(_ time.Duration, a, b connState) bool {
+	if a.young != b.young {
+		return b.young
+	}
 	if a.phase != b.phase {
 		return a.phase < b.phase
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -265,11 +265,16 @@
 }
 
 // greetingState is the state of a connection whose first message has not arrived.
-func (c *Conn) greetingState() (connState, bool) { return c.snapshot(), !c.greeted.Load() }
+func (c *Conn) greetingState() (connState, bool) {
+	s := c.snapshot()
+	s.young = c.guard.now()-s.acceptedAt < c.guard.minSilence
+	return s, !c.greeted.Load()
+}
 
 // unservedState is the state of a connection that may be closed for a new one.
 func (c *Conn) unservedState() (connState, bool) {
 	s := c.snapshot()
+	s.young = c.guard.now()-s.lastRead < c.guard.minSilence
 	return s, s.phase != serving && !c.greeted.Load()
 }
 
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -50,6 +50,8 @@
 	base    time.Time
 	// writeTimeout is how long a peer may take nothing of what is written to it.
 	writeTimeout time.Duration
+	// minSilence is the constant of that name, less in tests.
+	minSilence time.Duration
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -66,7 +68,7 @@
 	return &Guard{
 		limits: o.Limits, log: o.Log, refusals: newRefusals(o.Log, o.Metrics), metrics: o.Metrics,
 		pace: rate.NewLimiter(rate.Limit(o.Limits.PacedBytesPerSecond), paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
-		writeTimeout: progressTimeout,
+		writeTimeout: progressTimeout, minSilence: minSilence,
 	}
 }
 
@@ -150,8 +152,9 @@
 			_ = raw.Close()
 			return nil, errors.Errorf("connection of type %T is not a TCP connection", raw)
 		}
-		if wait := l.settleTime(); wait > 0 {
-			time.Sleep(wait)
+		// The wait is bounded: connections that send all the time stay young.
+		for end := l.guard.now() + l.guard.minSilence; l.unsettled() && l.guard.now() < end; {
+			time.Sleep(settleStep)
 		}
 		if c := l.add(tcp); c != nil {
 			return c, nil
@@ -161,20 +164,20 @@
 	}
 }
 
-// settleTime returns how long a new connection waits so that the one which would be closed
-// for it has been silent for minSilence.
-func (l *listener) settleTime() time.Duration {
+// unsettled reports whether the connection that would be closed for a new one is young.
+// Meanwhile its request is read, or others become idle.
+func (l *listener) unsettled() bool {
 	l.guard.mu.Lock()
 	defer l.guard.mu.Unlock()
-	if len(l.conns) < l.bound {
-		return 0
-	}
-	now := l.guard.now()
-	i := choose(now, len(l.conns), func(i int) (connState, bool) { return l.conns[i].unservedState() }, silentLonger)
-	if i < 0 {
-		return 0
+	young := func(state func(*Conn) (connState, bool), before preferable) bool {
+		i := choose(l.guard.now(), len(l.conns), func(i int) (connState, bool) { return state(l.conns[i]) }, before)
+		if i < 0 {
+			return false
+		}
+		s, _ := state(l.conns[i])
+		return s.young
 	}
-	return minSilence - (now - l.conns[i].snapshot().lastRead)
+	return len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
 }
 
 // add makes room for a connection, by closing another one if necessary. It returns nil if
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -313,6 +313,38 @@
 	}
 }
 
+// Guards against a listener at its bound that waits for each new connection although there
+// are idle ones, and against a new connection that is closed before its request is read.
+func TestIdleConnectionsMakeRoomAtOnce(t *testing.T) {
+	l := defaults
+	l.Callers = 50
+	s := newServer(t, l)
+	for range l.Callers {
+		status, _ := answer(send(s.dial(), sized(1)+"x"))
+		s.Assert(status, qt.Equals, 200)
+	}
+	time.Sleep(2 * minSilence)
+	began := time.Now()
+	statuses := make(chan int)
+	for range 40 {
+		go func() {
+			c, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			defer func() { _ = c.Close() }()
+			status, _ := answer(send(c, sized(1)+"x"))
+			statuses <- status
+		}()
+	}
+	for range 40 {
+		s.Check(<-statuses, qt.Equals, 200)
+	}
+	// 40 waits of minSilence take 2 s.
+	s.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
+
 // states counts the connections by phase.
 func (s *server) states() map[phase]int {
 	s.guard.mu.Lock()
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -69,6 +69,8 @@
 	// new one. In a burst of connections the requests of the first ones have not been read
 	// when the last ones are accepted.
 	minSilence = 50 * time.Millisecond
+	// settleStep is how often a listener looks again for a connection to close.
+	settleStep = 2 * time.Millisecond
 	// maxGreetings bounds the connections at the link address whose first message has not
 	// arrived: entries send it at once, and there are about a dozen of them.
 	maxGreetings = 64
