Don't say "not run" of a known job whose second body is refused

A caller that submitted a job again while the first submission was in progress could get 503, 408 or 413 "not run" because the body of the second one was refused, and then ran the job elsewhere at the same time.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -251,6 +251,19 @@
 	return ok, ok && j.started
 }
 
+// Knows reports whether a task of a job may have started here: the job is in progress, or
+// it has ended and its answer or its attempts are still kept.
+func (s *Scheduler) Knows(now time.Duration, id string) bool {
+	if _, ok := s.jobs[id]; ok {
+		return true
+	}
+	if cached, ok := s.cachedAnswers[id]; ok && now-cached.answeredAt < answerRetention {
+		return true
+	}
+	last, ok := s.lastAttempts[id]
+	return ok && now-last.endedAt < answerRetention
+}
+
 // command returns the Command for a worker that the next TakeActions returns, and
 // creates it if there is none.
 func (s *Scheduler) command(w *worker) *Command {
--- a/dispatchd/departures_test.go
+++ b/dispatchd/departures_test.go
@@ -104,3 +104,20 @@
 	case <-time.After(2 * time.Second):
 	}
 }
+
+// Guards against "not run" for a job that runs, ran or is about to run: the caller would send
+// it to another entry and it would run twice at the same time.
+func TestKnownJobs(t *testing.T) {
+	e := startEntry(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	e.submit(ctx, "a")
+	e.Assert(e.Knows(ctx, "a"), qt.IsTrue, qt.Commentf("in progress"))
+	e.Assert(e.Knows(ctx, "b"), qt.IsFalse, qt.Commentf("never submitted"))
+	e.Assert(e.call(ctx, func(now time.Duration) { e.scheduler.Cancel(now, "a", "test") }), qt.IsNil)
+	known, _, err := e.Find(ctx, "a")
+	e.Assert([]any{known, err}, qt.DeepEquals, []any{false, nil})
+	e.Assert(e.Knows(ctx, "a"), qt.IsTrue, qt.Commentf("its attempts are kept"))
+	e.countQueued("c", 1)
+	e.Assert(e.Knows(ctx, "c"), qt.IsTrue, qt.Commentf("queued"))
+}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -536,6 +536,20 @@
 	return known, started, err
 }
 
+// Knows reports whether a job may have run or may be about to run at this entry. If that
+// can't be told, because the entry has ended or ctx ends, it returns true.
+func (d *Dispatcher) Knows(ctx context.Context, id string) bool {
+	if d.countQueued(id, 0) > 0 {
+		return true
+	}
+	known := true
+	// A submission leaves the queue in the same event in which the scheduler gets it.
+	if err := d.call(ctx, func(now time.Duration) { known = d.countQueued(id, 0) > 0 || d.scheduler.Knows(now, id) }); err != nil {
+		return true
+	}
+	return known
+}
+
 // CountNotStarted returns the number of jobs of a queue of which no task is known
 // to have started. The error is ErrStopped or that of ctx.
 func (d *Dispatcher) CountNotStarted(ctx context.Context, queue string) (n int, err error) {
