Keep connections whose request is whole although no handler reads it

What net/http discards afterwards counts as unfinished again, so that nobody keeps a place by a body that never comes.

--- a/intake/body.go
+++ b/intake/body.go
@@ -64,10 +64,14 @@
 	server.IdleTimeout = cmp.Or(server.IdleTimeout, idleTimeout)
 	handler, connContext, connState := server.Handler, server.ConnContext, server.ConnState
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c != nil {
+		c := FromContext(r.Context())
+		if c != nil {
 			c.handlerBegins(r)
 		}
 		handler.ServeHTTP(w, r)
+		if c != nil {
+			c.handlerEnds()
+		}
 	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if connContext != nil {
@@ -97,7 +101,24 @@
 		c.enter(serving, false, true)
 		return
 	}
-	c.enter(receiving, true, false)
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete:
+		// Handlers don't read such a body: the request is whole without it.
+		c.enter(serving, true, false)
+	default:
+		c.enter(receiving, true, false)
+	}
+}
+
+// handlerEnds says that net/http discards what is left of a body that no handler read. Its
+// sender has no claim to the connection any more.
+func (c *Conn) handlerEnds() {
+	c.mu.Lock()
+	unread := c.state.phase == serving && c.inBody
+	c.mu.Unlock()
+	if unread {
+		c.enter(receiving, true, false)
+	}
 }
 
 const (
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -133,6 +133,10 @@
 	if r.URL.Path == "/unread" {
 		return
 	}
+	if r.URL.Path == "/wait" {
+		<-*s.hold.Load()
+		return
+	}
 	if r.URL.Path == "/panic" {
 		panic(http.ErrAbortHandler)
 	}
@@ -313,6 +317,23 @@
 	}
 }
 
+// Guards against a request that is closed for a new connection while its handler works,
+// because the handler reads no body, and against one that keeps its place after the answer by
+// a body that never comes.
+func TestRequestsWithUnreadBodyAreServed(t *testing.T) {
+	for _, method := range []string{"GET", "DELETE"} {
+		s := newServer(t, defaults)
+		hold := make(chan struct{})
+		s.hold.Store(&hold)
+		c := send(s.dial(), method+" /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+		s.eventually(method+" is served", func() bool { return s.states()[serving] == 1 })
+		close(hold)
+		s.eventually(method+" has ended", func() bool { return s.states()[serving] == 0 })
+		status, _ := answer(send(c, "xy"))
+		s.Assert(status, qt.Equals, 200)
+	}
+}
+
 // Guards against a listener at its bound that waits for each new connection although there
 // are idle ones, and against a new connection that is closed before its request is read.
 func TestIdleConnectionsMakeRoomAtOnce(t *testing.T) {
