Give back the paced reads of connections that end

After many large requests had been closed, later ones waited for a long time: the reads that the closed ones had reserved were still counted, and a limiter of package rate gives back nothing for a reservation that others follow. A small pacer replaces it: what a connection has reserved and not read is given back when its request ends, and those that wait look again every 200 ms. No read is put off beyond the time for a whole body.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -34,11 +34,15 @@
 	ended  bool
 	// refused makes every further read fail.
 	refused bool
-	// readDeadline is that of the last call of SetReadDeadline, and delay the time by which
-	// the next read is put off. needsDeadline says that the next read has progressTimeout:
+	// endsAt is when the unfinished request has to be whole, if it is paced.
+	endsAt time.Time
+	// turn and turnBytes are the reservation that the next read waits for; turnBytes is 0
+	// without one.
+	turn      float64
+	turnBytes int
+	// readDeadline is that of the last call of SetReadDeadline. needsDeadline says that the next read has progressTimeout:
 	// ordinary bodies arrive with their head and need no further read.
 	readDeadline  time.Time
-	delay         time.Duration
 	needsDeadline bool
 }
 
@@ -64,41 +68,57 @@
 // read.
 func (c *Conn) awaitTurn() (paced bool, err error) {
 	c.mu.Lock()
-	delay, refused := c.delay, c.refused
+	defer c.mu.Unlock()
 	paced = c.state.held > largeBytes && c.guard.large.Load() > calmRequests
-	c.delay = 0
 	if c.needsDeadline {
-		err = c.setReadDeadlineLocked(time.Now().Add(progressTimeout))
-	}
-	deadline := c.readDeadline
-	c.mu.Unlock()
-	if err != nil {
-		return false, err
+		if err := c.setReadDeadlineLocked(time.Now().Add(progressTimeout)); err != nil {
+			return false, err
+		}
 	}
-	if refused {
+	if c.refused {
 		return false, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errBusy}
 	}
-	// While a handler runs, net/http reads without a deadline to notice the end of the
-	// connection, and interrupts that read by a deadline. Such reads aren't put off.
-	if delay <= 0 || deadline.IsZero() {
-		return paced, nil
+	began, deadline, slept := time.Now(), c.readDeadline, false
+	for c.turnBytes > 0 {
+		// While a handler runs, net/http reads without a deadline to notice the end of the
+		// connection, and interrupts that read by a deadline. Such reads aren't put off.
+		if deadline.IsZero() || !c.readDeadline.Equal(deadline) {
+			return paced, nil
+		}
+		now := time.Now()
+		left := c.endsAt.Sub(now)
+		if left <= 0 || !began.Before(deadline) {
+			return false, os.ErrDeadlineExceeded
+		}
+		delay := c.guard.pace.delay(now, c.turn)
+		if delay <= 0 {
+			c.turnBytes = 0
+			break
+		}
+		slept = true
+		c.mu.Unlock()
+		closed := c.sleep(min(delay, left, paceStep))
+		c.mu.Lock()
+		if closed {
+			return false, net.ErrClosed
+		}
 	}
-	if time.Until(deadline) <= 0 {
-		return false, os.ErrDeadlineExceeded
+	if slept && c.readDeadline.Equal(deadline) {
+		return paced, c.setReadDeadlineLocked(deadline.Add(time.Since(began)))
 	}
-	timer := time.NewTimer(delay)
+	return paced, nil
+}
+
+// sleep waits for d and reports whether the connection was closed before.
+func (c *Conn) sleep(d time.Duration) (closed bool) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return false
 	case <-c.closed:
-		return false, net.ErrClosed
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.readDeadline.Equal(deadline) {
-		return paced, nil
+		return true
 	}
-	return paced, c.setReadDeadlineLocked(deadline.Add(delay))
 }
 
 // SetReadDeadline implements net.Conn. net/http calls it with the zero time before it reads
@@ -147,7 +167,12 @@
 			large = g.large.Add(1)
 		}
 		if large > calmRequests {
-			c.delay = g.pace.ReserveN(time.Now(), min(max(len(p), minReadBytes), g.pace.Burst())).Delay()
+			now := time.Now()
+			c.turnBytes = max(len(p), minReadBytes)
+			c.turn = g.pace.reserve(now, c.turnBytes)
+			if c.endsAt.IsZero() {
+				c.endsAt = now.Add(bodyTimeout)
+			}
 		}
 	}
 	c.mu.Unlock()
@@ -171,6 +196,16 @@
 	}
 	c.guard.held.Add(-c.state.held)
 	c.state.held = 0
+	c.cancelTurnLocked()
+	c.endsAt = time.Time{}
+}
+
+// cancelTurnLocked gives up the reservation of a read that will not come.
+func (c *Conn) cancelTurnLocked() {
+	if c.turnBytes > 0 {
+		c.guard.pace.cancel(time.Now(), c.turnBytes)
+		c.turnBytes = 0
+	}
 }
 
 // enter changes the phase. release says whether the bytes charged are given back.
@@ -179,7 +214,7 @@
 	defer c.mu.Unlock()
 	c.state.phase, c.inBody, c.needsDeadline = p, inBody, inBody
 	if p != receiving {
-		c.delay = 0
+		c.cancelTurnLocked()
 	}
 	if release {
 		c.releaseLocked()
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -20,7 +20,6 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
-	"golang.org/x/time/rate"
 
 	"github.com/sesamelift/sesamelift/decisions"
 )
@@ -44,7 +43,7 @@
 	// those requests that are large.
 	held  atomic.Int64
 	large atomic.Int64
-	pace  *rate.Limiter
+	pace  *pacer
 	// decodes limits the large bodies that are decoded at the same time.
 	decodes chan struct{}
 	base    time.Time
@@ -67,7 +66,7 @@
 	}
 	return &Guard{
 		limits: o.Limits, log: o.Log, refusals: newRefusals(o.Log, o.Metrics), metrics: o.Metrics,
-		pace: rate.NewLimiter(rate.Limit(o.Limits.PacedBytesPerSecond), paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
+		pace: newPacer(o.Limits.PacedBytesPerSecond, paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
 		writeTimeout: progressTimeout, minSilence: minSilence,
 	}
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -111,8 +111,9 @@
 // server is a server behind a guard. Its handler answers with the length of the body.
 type server struct {
 	*qt.C
-	guard *Guard
-	addr  string
+	guard  *Guard
+	server *http.Server
+	addr   string
 	// hold, while it is set, keeps handlers from decoding.
 	hold atomic.Pointer[chan struct{}]
 }
@@ -123,7 +124,7 @@
 	s.Assert(err, qt.IsNil)
 	s.addr = listener.Addr().String()
 	h := s.guard.Protect(&http.Server{Handler: http.HandlerFunc(s.serve)})
-	listener = s.guard.ListenForCallers(listener)
+	listener, s.server = s.guard.ListenForCallers(listener), h
 	go func() { _ = h.Serve(listener) }()
 	t.Cleanup(func() { _ = h.Close() })
 	return s
@@ -440,6 +441,74 @@
 	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "5000"})
 }
 
+// Guards against reservations of closed connections that delay those after them, and against a
+// pause that adds up to more than the burst.
+func TestPacer(t *testing.T) {
+	p := newPacer(1000, 500)
+	now := p.at
+	var positions []float64
+	for range 10 {
+		positions = append(positions, p.reserve(now, 500))
+	}
+	qt.Assert(t, p.delay(now, positions[9]), qt.Equals, 4500*time.Millisecond)
+	for range 8 {
+		p.cancel(now, 500)
+	}
+	qt.Assert(t, p.delay(now, positions[9]), qt.Equals, 500*time.Millisecond)
+	p.cancel(now, 500)
+	qt.Assert(t, p.delay(now, positions[9]), qt.Equals, time.Duration(0))
+	now = now.Add(time.Hour)
+	qt.Assert(t, p.delay(now, p.reserve(now, 1000)), qt.Equals, 500*time.Millisecond)
+}
+
+// Guards against connections that were closed for others and leave a debt to later requests.
+func TestClosedConnectionsLeaveNoPaceDebt(t *testing.T) {
+	l := defaults
+	l.UnfinishedBytes, l.PacedBytesPerSecond = 64<<20, 1<<10
+	s := newServer(t, l)
+	var conns []net.Conn
+	for range calmRequests + 40 {
+		conns = append(conns, send(s.dial(), sized(100_000)+strings.Repeat("x", 60_000)))
+	}
+	s.eventually("paced", func() bool { return s.guard.pace.Tokens() < -50_000 })
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	_ = s.server.Close()
+	s.eventually("no debt", func() bool { return s.guard.pace.Tokens() >= 0 })
+}
+
+// Guards against a paced body whose turn comes only after the time for a whole body, and
+// which is not answered until then.
+func TestPacedBodyEndsInTime(t *testing.T) {
+	l := defaults
+	l.UnfinishedBytes, l.PacedBytesPerSecond = 64<<20, 1<<10
+	s := newServer(t, l)
+	var last net.Conn
+	for range calmRequests + 40 {
+		last = send(s.dial(), sized(100_000)+strings.Repeat("x", 60_000))
+	}
+	paced := func() (conns []*Conn) {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		for _, c := range s.guard.listeners[0].conns {
+			c.mu.Lock()
+			if c.turnBytes > 0 && c.RemoteAddr().String() == last.LocalAddr().String() {
+				conns = append(conns, c)
+			}
+			c.mu.Unlock()
+		}
+		return conns
+	}
+	s.eventually("paced", func() bool { return s.guard.pace.Tokens() < -50_000 && len(paced()) == 1 })
+	c := paced()[0]
+	c.mu.Lock()
+	c.endsAt = time.Now()
+	c.mu.Unlock()
+	status, _ := answer(last)
+	s.Assert(status, qt.Equals, 408)
+}
+
 // Guards against connections at the address for entries that send no first message and keep
 // entries out, and against an entry that is closed for a newer connection.
 func TestGreetings(t *testing.T) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -84,6 +84,9 @@
 	// turn soon.
 	minReadBytes = 512
 	maxReadBytes = 4 << 10
+	// paceStep is how often a paced read looks whether its turn has come, since others may
+	// have given up theirs.
+	paceStep = 200 * time.Millisecond
 	// paceBurst is what is read without delay after a pause, in bytes.
 	paceBurst = 256 << 10
 )
