Write the line for a refusal without the lock of the counters

A slow output of the log held up every other refusal, and with it the reads and the accepts of the process: the line was written under the lock. It is built under the lock and written after.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -108,6 +108,22 @@
 	qt.Assert(t, counters, qt.DeepEquals, map[string]int64{"bytes": 1001, "no_room": 1})
 }
 
+// Guards against a slow output of the log that holds up every other refusal.
+func TestSlowLogHoldsUpNobody(t *testing.T) {
+	writing, hold := make(chan struct{}), make(chan struct{})
+	r := newRefusals(func(decisions.Line) { close(writing); <-hold }, tally.NoopScope)
+	go r.add("callers", tooManyBytes)
+	<-writing
+	done := make(chan struct{})
+	go func() { r.add("callers", tooManyBytes); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("blocked")
+	}
+	close(hold)
+}
+
 // server is a server behind a guard. Its handler answers with the length of the body.
 type server struct {
 	*qt.C
--- a/intake/report.go
+++ b/intake/report.go
@@ -47,6 +47,14 @@
 
 // add counts a refusal at an address. fields are added to its log line.
 func (r *refusals) add(address string, why reason, fields ...any) {
+	// The line is written without the lock, since the output may be slow.
+	if l, due := r.count(address, why, fields); due {
+		r.log(l)
+	}
+}
+
+// count counts a refusal and returns the line to log, if one is due.
+func (r *refusals) count(address string, why reason, fields []any) (l decisions.Line, due bool) {
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,10 +69,11 @@
 	byReason[why].Inc(1)
 	r.unlogged[why]++
 	if !r.loggedAt[why].IsZero() && now.Sub(r.loggedAt[why]) < refusalLogInterval {
-		return
+		return decisions.Line{}, false
 	}
-	r.log(line(why, append([]any{"address", address, "count", r.unlogged[why]}, fields...)))
+	l = line(why, append([]any{"address", address, "count", r.unlogged[why]}, fields...))
 	r.unlogged[why], r.loggedAt[why] = 0, now
+	return l, true
 }
 
 // line returns the log line for refusals.
