--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -97,8 +97,10 @@
 	// CloseConnections closes connections of callers: idle ones at once, others after
 	// their answer.
 	CloseConnections func()
-	Log              *decisions.Log
-	Metrics          tally.Scope
+	// WorkBytes limits the memory for the jobs in progress; 0 means no limit.
+	WorkBytes int64
+	Log       *decisions.Log
+	Metrics   tally.Scope
 }
 
 // Dispatcher connects the scheduler of an entry with its agents, callers and
@@ -168,7 +170,7 @@
 		opts: o, startedAt: startedAt, events: make(chan event, eventQueueSize), queuedSubmissions: map[string]int{},
 		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}),
 		scheduler: dispatch.New(dispatch.Options{
-			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs,
+			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
@@ -541,6 +543,20 @@
 	return known, started, err
 }
 
+// Knows reports whether a job may have run or may be about to run at this entry. If that
+// can't be told, because the entry has ended or ctx ends, it returns true.
+func (d *Dispatcher) Knows(ctx context.Context, id string) bool {
+	if d.countQueued(id, 0) > 0 {
+		return true
+	}
+	known := true
+	// A submission leaves the queue in the same event in which the scheduler gets it.
+	if err := d.call(ctx, func(now time.Duration) { known = d.countQueued(id, 0) > 0 || d.scheduler.Knows(now, id) }); err != nil {
+		return true
+	}
+	return known
+}
+
 // CountNotStarted returns the number of jobs of a queue of which no task is known
 // to have started. The error is ErrStopped or that of ctx.
 func (d *Dispatcher) CountNotStarted(ctx context.Context, queue string) (n int, err error) {
