--- a/link/link_test.go
+++ b/link/link_test.go
@@ -77,7 +77,7 @@
 
 // Guards against a peer that takes memory by declaring a length, or by a long first message.
 func TestFramesAreReadAsTheyArrive(t *testing.T) {
-	r := &greediness{arriving: 100_000}
+	r := &countingReader{arriving: 100_000}
 	_, err := readBytes(r, maxFrameBytes)
 	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
 	qt.Assert(t, r.largest <= 2*r.arriving, qt.IsTrue, qt.Commentf("asked for %d bytes after at most %d", r.largest, r.arriving))
@@ -94,10 +94,10 @@
 	qt.Assert(t, b.ReadFirst(&Hello{}), qt.ErrorMatches, ".*exceeds the limit of 4096")
 }
 
-// greediness is a reader whose bytes end early. It notes the most bytes it was asked for.
-type greediness struct{ arriving, arrived, largest int }
+// countingReader is a reader whose bytes end early. It notes the most bytes it was asked for.
+type countingReader struct{ arriving, arrived, largest int }
 
-func (g *greediness) Read(p []byte) (int, error) {
+func (g *countingReader) Read(p []byte) (int, error) {
 	g.largest = max(g.largest, len(p))
 	n := min(len(p), g.arriving-g.arrived)
 	if n == 0 {
