intake: Close silent peers at the link address for new connections

Callers' entries could be kept out of an agent: peers that said hello under many names and then declared a frame that never came kept their places without end, and at the bound nothing was closed for a new connection.

A peer whose message has been unfinished for 2 s, or that has sent nothing for 15 s, now makes room for a new connection at the bound. Entries count an agent as lost after 0.5 s and ping it at least every 10 s, so that no entry meets this; below the bound nothing is closed.

TestSilentPeersAtTheBound fails without the rule (the new connection is refused until the test's deadline of 10 s).

--- a/intake/choose.go
+++ b/intake/choose.go
@@ -19,8 +19,9 @@
 	phase phase
 	// held are the bytes charged for the unfinished request.
 	held int64
-	// acceptedAt is when the connection was accepted, lastRead when it last sent something.
-	acceptedAt, lastRead time.Duration
+	// acceptedAt is when the connection was accepted, lastRead when it last sent something,
+	// and beganAt when the first bytes of an unfinished request or message arrived.
+	acceptedAt, lastRead, beganAt time.Duration
 	// young says that the connection has been silent, or open, for less than minSilence:
 	// what it has sent may not have been read yet.
 	young bool
@@ -55,6 +56,16 @@
 	return weight(a) > weight(b)
 }
 
+// stale reports whether the peer of a connection at the address for entries has stopped in
+// the middle of a message, or sends none. Each message counts anew, so that a peer does not
+// keep its place by sending a message in small pieces.
+func (s connState) stale(now, messageTimeout, entrySilence time.Duration) bool {
+	if s.phase == receiving {
+		return now-s.beganAt > messageTimeout
+	}
+	return now-s.lastRead > entrySilence
+}
+
 // choose returns the index of the connection to close among n, or -1 if none is eligible.
 // state returns the state of a connection and whether it is eligible.
 func choose(now time.Duration, n int, state func(i int) (connState, bool), before preferable) int {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -153,7 +153,9 @@
 		c.mu.Unlock()
 		return true
 	}
-	c.state.phase = receiving
+	if c.state.phase != receiving {
+		c.state.phase, c.state.beganAt = receiving, now
+	}
 	cost := int64(len(p))
 	if !c.inBody && !c.greeted.Load() {
 		cost += headLineBytes * int64(bytes.Count(p, newline))
@@ -309,8 +311,12 @@
 // unservedState is the state of a connection that may be closed for a new one.
 func (c *Conn) unservedState() (connState, bool) {
 	s := c.snapshot()
-	s.young = c.guard.now()-s.lastRead < c.guard.minSilence
-	return s, s.phase != serving && !c.greeted.Load()
+	now := c.guard.now()
+	s.young = now-s.lastRead < c.guard.minSilence
+	if c.greeted.Load() {
+		return s, s.stale(now, c.guard.messageTimeout, c.guard.entrySilence)
+	}
+	return s, s.phase != serving
 }
 
 // holdingState is the state of a connection with an unfinished request.
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -49,8 +49,9 @@
 	base    time.Time
 	// writeTimeout is how long a peer may take nothing of what is written to it.
 	writeTimeout time.Duration
-	// minSilence is the constant of that name, less in tests.
-	minSilence time.Duration
+	// minSilence, messageTimeout and entrySilence are the constants of these names, less in
+	// tests.
+	minSilence, messageTimeout, entrySilence time.Duration
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -67,7 +68,7 @@
 	return &Guard{
 		limits: o.Limits, log: o.Log, refusals: newRefusals(o.Log, o.Metrics), metrics: o.Metrics,
 		pace: newPacer(o.Limits.PacedBytesPerSecond, paceBurst), decodes: make(chan struct{}, maxDecodes), base: time.Now(),
-		writeTimeout: progressTimeout, minSilence: minSilence,
+		writeTimeout: progressTimeout, minSilence: minSilence, messageTimeout: messageTimeout, entrySilence: entrySilence,
 	}
 }
 
@@ -86,7 +87,8 @@
 
 // ListenForEntries bounds the connections of a listener for entries. The program calls
 // Greeted on each connection whose first message has arrived, and Received after each
-// further one.
+// further one. Once the bound is reached, peers that send no whole message for some time
+// lose their connection to new ones.
 func (g *Guard) ListenForEntries(l net.Listener) net.Listener {
 	return g.listen("link", l, g.limits.Links, g.limits.Greetings)
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -566,6 +567,72 @@
 	qt.Assert(t, g.held.Load(), qt.Equals, int64(0))
 }
 
+// Guards against peers that say hello under many names, then stop in the middle of a message,
+// send it in small pieces or send none, and keep all entries out; and against an entry that
+// loses its connection to a new one although it sends messages.
+func TestSilentPeersAtTheBound(t *testing.T) {
+	const longAgo = time.Hour
+	l := defaults
+	l.Links = 4
+	g := NewGuard(Options{Limits: l})
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	// A refused connection leaves Accept waiting for another one.
+	qt.Assert(t, raw.(*net.TCPListener).SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	links := g.ListenForEntries(raw)
+	defer func() { _ = links.Close() }()
+	connect := func(rest string) *Conn {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = client.Close() })
+		send(client, "hello"+rest)
+		conn, err := links.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadFull(conn, make([]byte, len("hello")))
+		qt.Assert(t, err, qt.IsNil)
+		conn.(*Conn).Greeted()
+		if rest != "" {
+			_, err = io.ReadFull(conn, make([]byte, len(rest)))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		return conn.(*Conn)
+	}
+	open := func(c *Conn) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return c.index >= 0
+	}
+	age := func(c *Conn, d time.Duration) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.state.beganAt, c.state.lastRead = c.state.beganAt-d, c.state.lastRead-d
+	}
+	entry, unfinished, inPieces, silent := connect(""), connect("part"), connect("part"), connect("")
+	age(unfinished, messageTimeout+longAgo)
+	age(inPieces, messageTimeout)
+	age(silent, entrySilence)
+
+	connect("")
+	qt.Assert(t, []bool{open(entry), open(unfinished), open(inPieces), open(silent)}, qt.DeepEquals, []bool{true, false, true, true})
+	inPieces.mu.Lock()
+	inPieces.state.lastRead = g.now() // It has just sent another piece.
+	inPieces.mu.Unlock()
+	g.minSilence = 0
+	connect("")
+	qt.Assert(t, []bool{open(entry), open(inPieces), open(silent)}, qt.DeepEquals, []bool{true, false, true})
+	connect("")
+	qt.Assert(t, []bool{open(entry), open(silent)}, qt.DeepEquals, []bool{true, false})
+	// All others send messages: the new connection is refused.
+	client, err := net.Dial("tcp", raw.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = client.Close() }()
+	go func() { _, _ = links.Accept() }()
+	_ = client.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = client.Read(make([]byte, 1))
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+	qt.Assert(t, open(entry), qt.IsTrue)
+}
+
 // Guards against a peer that reads slowly and is cut off in the middle of a long answer, and
 // against one that reads nothing and is written to without end.
 func TestWriteTimeout(t *testing.T) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -69,6 +69,13 @@
 	// new one. In a burst of connections the requests of the first ones have not been read
 	// when the last ones are accepted.
 	minSilence = 50 * time.Millisecond
+	// messageTimeout is how long a message of an entry may be unfinished before its
+	// connection is closed for a new one. Entries and agents take each other for lost after
+	// half a second of silence.
+	messageTimeout = 2 * time.Second
+	// entrySilence is how long an entry may send nothing before its connection is closed for
+	// a new one. Entries send a message at least every 10 s.
+	entrySilence = 15 * time.Second
 	// settleStep is how often a listener looks again for a connection to close.
 	settleStep = 2 * time.Millisecond
 	// maxGreetings bounds the connections at the link address whose first message has not
