intake: Count the bytes read together with a message as the next one

A peer whose hello and the beginning of a frame arrived together counted as idle, since both were read at once and the hello released all bytes. It kept its place for 15 s in place of 2 s, and the bytes were not charged.

The program now says how many bytes of the next message it has read. TestSilentPeersAtTheBound reads both together and failed before.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -224,14 +224,15 @@
 }
 
 // Greeted says that the first message of the peer of a listener for entries has arrived.
-func (c *Conn) Greeted() {
+// unread is as for Received.
+func (c *Conn) Greeted(unread int) {
 	c.guard.mu.Lock()
 	if c.index >= 0 && !c.greeted.Load() {
 		c.listener.greetings--
 	}
 	c.greeted.Store(true)
 	c.guard.mu.Unlock()
-	c.Received()
+	c.Received(unread)
 }
 
 // NotGreeted says that the first message was not valid. protocol is the version that it
@@ -240,8 +241,20 @@
 	c.guard.refusals.add(c.listener.name, badGreeting, "protocol", protocol)
 }
 
-// Received says that a whole message has arrived.
-func (c *Conn) Received() { c.enter(idle, false, true) }
+// Received says that a whole message has arrived. unread is the number of bytes of the next
+// one that have been read from the connection with it.
+func (c *Conn) Received(unread int) {
+	c.enter(idle, false, true)
+	if unread <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.state.phase, c.state.beganAt, c.state.held = receiving, c.guard.now(), int64(unread)
+		c.guard.held.Add(int64(unread))
+	}
+}
 
 // Write writes to the connection. A peer that takes nothing for the write time-out is
 // treated as gone: it would occupy its place without end. One that reads slowly is not.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -544,7 +544,7 @@
 		return client, conn.(*Conn)
 	}
 	_, entry := connect()
-	entry.Greeted()
+	entry.Greeted(0)
 	var silent []*Conn
 	for range 5 {
 		_, c := connect()
@@ -558,12 +558,12 @@
 	}
 	// An unfinished message of an entry counts, and a whole one is given back.
 	client, c := connect()
-	c.Greeted()
+	c.Greeted(0)
 	send(client, "12345")
 	_, err = io.ReadFull(c, make([]byte, 5))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, g.held.Load(), qt.Equals, int64(5))
-	c.Received()
+	c.Received(0)
 	qt.Assert(t, g.held.Load(), qt.Equals, int64(0))
 }
 
@@ -588,13 +588,10 @@
 		send(client, "hello"+rest)
 		conn, err := links.Accept()
 		qt.Assert(t, err, qt.IsNil)
-		_, err = io.ReadFull(conn, make([]byte, len("hello")))
+		// The bytes after the first message are read together with it.
+		_, err = io.ReadFull(conn, make([]byte, len("hello"+rest)))
 		qt.Assert(t, err, qt.IsNil)
-		conn.(*Conn).Greeted()
-		if rest != "" {
-			_, err = io.ReadFull(conn, make([]byte, len(rest)))
-			qt.Assert(t, err, qt.IsNil)
-		}
+		conn.(*Conn).Greeted(len(rest))
 		return conn.(*Conn)
 	}
 	open := func(c *Conn) bool {
--- a/link/conn.go
+++ b/link/conn.go
@@ -135,6 +135,10 @@
 	return nil
 }
 
+// Buffered returns the number of bytes received beyond the messages that Read has returned.
+// The goroutine that calls Read may call it.
+func (c *Conn) Buffered() int { return c.reader.Buffered() }
+
 // SetReadDeadline sets the time after which Read fails. The zero time disables it.
 func (c *Conn) SetReadDeadline(t time.Time) error { return c.conn.SetReadDeadline(t) }
 
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -435,7 +435,7 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	if bounded != nil {
-		bounded.Greeted()
+		bounded.Greeted(conn.Buffered())
 	}
 	if conn.Send(&link.Welcome{Protocol: link.Protocol, Agent: a.opts.Name, Incarnation: a.opts.Incarnation, ClockMS: clock.SinceBoot().Milliseconds()}) != nil {
 		return
@@ -461,7 +461,7 @@
 			return
 		}
 		if bounded != nil {
-			bounded.Received()
+			bounded.Received(conn.Buffered())
 		}
 		a.enqueue(func(now time.Duration) {
 			// The messages of a connection that has ended are handled before its end. Once
