intake: Give a new link connection time until its first message is read

An entry could lose its connection to an agent although its hello had arrived: when many others connected without one, the oldest was closed at once, possibly before its message was read. The listener now waits until the connection to be closed has been open for minSilence, as it does at the connection bound, and chooses again. TestGreetings is about the choice alone and sets that time to 0.

TestArrivedGreetingIsRead fails without the wait.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -178,9 +178,14 @@
 		s, _ := state(l.conns[i])
 		return s.young
 	}
-	return len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
+	return l.greetingsFull() && young((*Conn).greetingState, olderGreeting) ||
+		len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
 }
 
+// greetingsFull reports whether no further connection may wait for its first message. The
+// caller holds guard.mu.
+func (l *listener) greetingsFull() bool { return l.maxGreetings > 0 && l.greetings >= l.maxGreetings }
+
 // add makes room for a connection, by closing another one if necessary. It returns nil if
 // there is none to close.
 func (l *listener) add(tcp *net.TCPConn) *Conn {
@@ -196,7 +201,7 @@
 	c := &Conn{TCPConn: tcp, guard: g, listener: l, closed: make(chan struct{}), state: connState{acceptedAt: now, lastRead: now}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.maxGreetings > 0 && l.greetings >= l.maxGreetings && l.evict(now, (*Conn).greetingState, olderGreeting) {
+	if l.greetingsFull() && l.evict(now, (*Conn).greetingState, olderGreeting) {
 		closed = append(closed, tooManyGreetings)
 	}
 	if len(l.conns) >= l.bound {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -531,6 +531,7 @@
 // entries out, and against an entry that is closed for a newer connection.
 func TestGreetings(t *testing.T) {
 	g := NewGuard(Options{Limits: defaults})
+	g.minSilence = 0
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	l := g.ListenForEntries(raw)
@@ -630,6 +631,39 @@
 	qt.Assert(t, open(entry), qt.IsTrue)
 }
 
+// Guards against an entry that is closed for a newer connection although its first message
+// has arrived and is about to be read.
+func TestArrivedGreetingIsRead(t *testing.T) {
+	g := NewGuard(Options{Limits: defaults})
+	g.minSilence = 10 * time.Second
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := g.ListenForEntries(raw)
+	defer func() { _ = l.Close() }()
+	const hello = "hello message"
+	read := make(chan error, 1)
+	for i := range defaults.Greetings + 1 {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = client.Close() }()
+		if i == 0 {
+			send(client, hello)
+		}
+		conn, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		if i > 0 {
+			continue
+		}
+		go func() {
+			time.Sleep(minSilence / 2)
+			_, err := io.ReadFull(conn, make([]byte, len(hello)))
+			conn.(*Conn).Greeted(0)
+			read <- err
+		}()
+	}
+	qt.Assert(t, <-read, qt.IsNil)
+}
+
 // Guards against a peer that reads slowly and is cut off in the middle of a long answer, and
 // against one that reads nothing and is written to without end.
 func TestWriteTimeout(t *testing.T) {
