platform: Number the calls of each agent process with a fencing token

A call to the worker without an answer may be carried out seconds later.

Each process now sends a fencing token with all its calls, the time of day of its start. The worker rejects a call with a lower token than it has seen, so that late calls of the previous process have no effect once the new one has called. The stand-in of the worker checks tokens like the platform's workers.

TestLateStartOfAPreviousProcess fails without the token ("the late start was carried out").

--- a/host/agent.go
+++ b/host/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
@@ -23,7 +24,7 @@
 	announcements := make(chan any, 1)
 	a, err := runnerd.New(runnerd.Options{
 		Name: s.Name, Incarnation: p.incarnation, LinkAddress: s.LinkAddress, Timings: p.timings, MaxStopTime: s.Bounds.MaxStopTime,
-		GracePeriod: s.GracePeriod, Worker: platform.NewWorkerClient(s.WorkerAddress), Guard: p.guard, Log: p.log, Metrics: p.metrics,
+		GracePeriod: s.GracePeriod, Worker: platform.NewWorkerClient(s.WorkerAddress, time.Now(), func(l decisions.Line) { p.log.Add(l) }), Guard: p.guard, Log: p.log, Metrics: p.metrics,
 		StoreAnnouncement: func(announcement runner.Announcement) {
 			// Only the most recent announcement is stored, so a pending one is replaced.
 			select {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -107,6 +107,8 @@
 	changed chan struct{}
 	seq     int
 	crashed bool
+	// fencingToken is the highest one seen. Requests with a lower one have no effect.
+	fencingToken int64
 }
 
 type workerRun struct {
@@ -285,6 +287,8 @@
 	DeadlineMS int64  `json:"deadline_ms"`
 	LastSeen   int64  `json:"last_seen"`
 	WaitMS     int64  `json:"wait_ms"`
+	// FencingToken is 0 if it is missing.
+	FencingToken int64 `json:"fencing_token"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -323,6 +327,13 @@
 	}
 }
 
+// fenced reports whether a request has a lower fencing token than one seen before. The
+// caller holds w.mu.
+func (w *Worker) fenced(req *workerRequest) bool {
+	w.fencingToken = max(w.fencingToken, req.FencingToken)
+	return req.FencingToken < w.fencingToken
+}
+
 // handleRunRequest executes a start or stop request under the faults f. execute
 // returns the reason if it rejects the request, or "".
 func (w *Worker) handleRunRequest(rw http.ResponseWriter, r *http.Request, f WorkerFaults, execute func() string) {
@@ -359,6 +370,9 @@
 	if w.crashed {
 		return "late"
 	}
+	if w.fenced(req) {
+		return "fence"
+	}
 	w.endOverdue(time.Now())
 	if r := w.runs[req.Task]; r != nil && r.attempt == req.Attempt {
 		return ""
@@ -389,6 +403,9 @@
 func (w *Worker) stop(req *workerRequest) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.fenced(req) {
+		return "fence"
+	}
 	w.highestEndedAttempt[req.Task] = max(w.highestEndedAttempt[req.Task], req.Attempt)
 	if r := w.runs[req.Task]; r != nil && r.attempt <= req.Attempt && r.stopAt.IsZero() {
 		r.stopAt = time.Now().Add(stopDelay)
@@ -413,7 +430,7 @@
 		time.AfterFunc(f.DelayRequests, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if req.DeadlineMS > 0 {
+			if !w.fenced(req) && req.DeadlineMS > 0 {
 				w.extend(req.DeadlineMS)
 			}
 		})
@@ -422,6 +439,12 @@
 	}
 	timeout := time.After(time.Duration(req.WaitMS) * time.Millisecond)
 	w.mu.Lock()
+	if w.fenced(req) {
+		clock := w.clock()
+		w.mu.Unlock()
+		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": "fence"})
+		return
+	}
 	w.endOverdue(time.Now())
 	if req.DeadlineMS > 0 {
 		w.extend(req.DeadlineMS)
