entry: Wait for workers outside evacuated zones instead of refusing

Cause: a job was refused with "the workers that serve it are in evacuated zones" whenever no worker had a slot to offer and one of the evacuated zone served the service. So a worker of another zone made this refusal false while its backend server missed health checks, its connection had been lost for 2 s, its agent had restarted, it was ejected, its zone was restored and its agent didn't have that configuration yet, or the entry wasn't ready.

The entry now remembers workers across connections and incarnations. While one outside the evacuated zones became unavailable less than 5 s ago, or its ejection ends within 2 s, new jobs wait for it for up to 2 s. After that they get another message if such a worker is known, and the old one only if all are in evacuated zones. The time of package placement advances with each tick, since an ejection otherwise lasted on while no agent reported. Without an evacuation, only a worker whose agent lacks the present configuration is waited for.

TestRefusalsDuringEvacuation and TestJobWaitsForAWorkerOutsideTheEvacuatedZone decide within one event and depend on no timing.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -105,6 +105,7 @@
 	ag.worker, ag.zone, ag.services, ag.load, ag.conn, ag.connectedAt = h.Name, h.Zone, h.Services, h.Load, a.conn, now
 	ag.pendingSettles, ag.sentRosterVersion, ag.sentConfigVersion = 0, h.RosterVersion, 0
 	ls.placement.AgentConnected(placement.Agent{ID: a.id, Worker: h.Name, Zone: h.Zone, Services: h.Services, Load: h.Load}, now)
+	ls.recordWorker(ag, now)
 	ls.e.log.WithField("worker", h.Name).WithField("agent", a.id).Info("agent connected")
 	ls.pushUpdates(ag)
 	ls.settleInFlight(ag)
@@ -146,6 +147,7 @@
 	ag.conn.Close(nil)
 	ag.conn, ag.disconnectedAt = nil, now
 	ls.placement.AgentDisconnected(ag.id)
+	ls.recordWorker(ag, now)
 	ls.jobs.AgentDisconnected(ag.id, now)
 }
 
@@ -213,6 +215,7 @@
 		ls.checkReady()
 	}
 	ls.placement.UpdateLoad(ag.id, l, services, now)
+	ls.recordWorker(ag, now)
 }
 
 func (ls *loopState) handleSettled(ag *agentState, a *agentConn, m *wire.Settled, now time.Time) {
--- a/entry/configwatch.go
+++ b/entry/configwatch.go
@@ -78,13 +78,13 @@
 	for _, w := range cfg.Workers {
 		workers[w.Name] = w
 	}
-	ls.placement.SetAllowedWorkers(func(worker, zone, service string) bool {
+	ls.setPermitted(func(worker, zone, service string) bool {
 		if cfg.Evacuated(zone) {
 			return false
 		}
 		w, listed := workers[worker]
 		return !listed || !w.Drain && (len(w.Services) == 0 || slices.Contains(w.Services, service))
-	})
+	}, ls.now())
 	ls.setTeams()
 	for _, ag := range ls.agents {
 		ls.pushUpdates(ag)
--- a/entry/core.go
+++ b/entry/core.go
@@ -52,7 +52,14 @@
 	requestTypes  map[string]map[string]config.RequestType
 	agents        map[uint64]*agentState
 	agentByWorker map[string]uint64
-	activeJobs    map[api.Key]*activeJob
+	workers       map[string]*knownWorker
+	// outlooks caches the results of outlook by service. It is cleared whenever a worker
+	// or the configuration changes.
+	outlooks map[string]outlook
+	// permitted reports whether the configuration permits a worker in a zone to serve a
+	// service.
+	permitted  func(worker, zone, service string) bool
+	activeJobs map[api.Key]*activeJob
 	// queuedTasks counts the queued tasks by service and team.
 	queuedTasks     map[[2]string]int
 	blockedRequests []*request
@@ -92,7 +99,8 @@
 		admission: admission.New(admission.Options{MaxQueuedTasks: s.MaxQueuedTasks}),
 		placement: placement.New(placement.Options{Policy: s.Policy, Zone: s.Zone, Seed: e.self.Incarnation}),
 		config:    &config.Config{}, requestTypes: map[string]map[string]config.RequestType{},
-		agents: map[uint64]*agentState{}, agentByWorker: map[string]uint64{}, activeJobs: map[api.Key]*activeJob{},
+		agents: map[uint64]*agentState{}, agentByWorker: map[string]uint64{}, workers: map[string]*knownWorker{}, outlooks: map[string]outlook{},
+		permitted: func(_, _, _ string) bool { return true }, activeJobs: map[api.Key]*activeJob{},
 		queuedTasks: map[[2]string]int{}, pendingCloses: map[api.Key]*pendingClose{}, retryBudget: newRetryBudget(now), lastIteration: now, nextCleanup: now,
 	}
 }
@@ -169,6 +177,7 @@
 
 func (ls *loopState) tick() {
 	now := ls.now()
+	ls.placement.Advance(now)
 	ls.apply(ls.jobs.Tick(now))
 	ls.enqueueDelayed(now)
 	ls.retryBlocked(now)
@@ -178,6 +187,7 @@
 	if !now.Before(ls.nextCleanup) {
 		ls.nextCleanup = now.Add(cleanupInterval)
 		ls.resolver.Expire(now)
+		ls.forgetWorkers(now)
 		if ls.e.health.stale(now) && ls.e.peers.anyMissedPing() {
 			ls.maybeRemoved, ls.maybeRemovedAt = true, now
 		}
--- /dev/null
+++ b/entry/evacuation_test.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/config"
+	"github.com/sesamelift/sesamelift/jobs"
+	"github.com/sesamelift/sesamelift/placement"
+	"github.com/sesamelift/sesamelift/transport"
+	"github.com/sesamelift/sesamelift/wire"
+)
+
+// What becomes of a job: it is accepted, or waits, or is refused with one of the messages.
+const (
+	accepted            = "accepted"
+	waits               = "waits, then "
+	noWorker            = `no_worker: no worker serves "cleft-assessor"`
+	allEvacuated        = `overload: the workers that serve "cleft-assessor" are in evacuated zones`
+	nothingOutsideTakes = `overload: no worker outside the evacuated zones accepts tasks for "cleft-assessor" at present`
+)
+
+// Guards against jobs that are refused because of an evacuation although a worker of
+// another zone serves them, which is reconnecting, restarting, ejected or without the
+// present configuration, or whose backend server missed health checks.
+func TestRefusalsDuringEvacuation(t *testing.T) {
+	t.Parallel()
+	const home, other = "salalah-kiln", "taqah-shed"
+	load := wire.Load{Slots: 8}
+	leaving := wire.Load{Slots: 8, Leaving: true}
+	evacuate := func(ls *loopState, zones ...string) {
+		c := *ls.config
+		c.Version++
+		c.EvacuatedZones = zones
+		ls.setConfig(&c)
+	}
+	lose := func(ls *loopState, now time.Time) {
+		ls.markAgentDisconnected(ls.agents[11], now)
+		ls.discardDisconnectedAgents(now.Add(jobs.SettleWait))
+	}
+	for _, tc := range []struct {
+		name string
+		// change is applied while w1 is in the other zone and w2 to w4 in an evacuated one.
+		change func(ls *loopState, now time.Time)
+		// now is what becomes of a job immediately, later that of one after a minute.
+		now, later string
+	}{
+		{"connected", func(*loopState, time.Time) {}, accepted, accepted},
+		{"connection just lost", func(ls *loopState, now time.Time) { ls.markAgentDisconnected(ls.agents[11], now) }, accepted, accepted},
+		{"connection lost for longer", lose, waits + nothingOutsideTakes, allEvacuated},
+		{"restarted, backend server not announced", func(ls *loopState, now time.Time) {
+			lose(ls, now)
+			connect(ls, "w1", 21, home, nil, leaving)
+		}, waits + nothingOutsideTakes, nothingOutsideTakes},
+		{"backend server down", func(ls *loopState, now time.Time) { ls.updateLoad(ls.agents[11], leaving, nil, now) }, waits + nothingOutsideTakes, nothingOutsideTakes},
+		{"ejected", func(ls *loopState, now time.Time) {
+			for range 6 {
+				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
+			}
+		}, waits + nothingOutsideTakes, accepted},
+		{"other zone restored, configuration under way", func(ls *loopState, now time.Time) {
+			evacuate(ls, home, other)
+			ls.updateLoad(ls.agents[11], leaving, nil, now.Add(-time.Minute))
+			evacuate(ls, other)
+		}, waits + nothingOutsideTakes, nothingOutsideTakes},
+		{"all zones restored, configuration under way", func(ls *loopState, now time.Time) {
+			evacuate(ls, home, other)
+			for _, ag := range ls.agents {
+				ls.updateLoad(ag, leaving, nil, now.Add(-time.Minute))
+			}
+			evacuate(ls)
+		}, waits + noWorker, noWorker},
+		{"entry not ready", func(ls *loopState, now time.Time) {
+			lose(ls, now)
+			ls.forgetWorkers(now.Add(time.Minute))
+			ls.ready = false
+		}, waits + nothingOutsideTakes, waits + nothingOutsideTakes},
+		{"all zones evacuated", func(ls *loopState, _ time.Time) { evacuate(ls, home, other) }, allEvacuated, allEvacuated},
+		{"drained", func(ls *loopState, _ time.Time) {
+			c := *ls.config
+			c.Version++
+			c.Workers = []config.Worker{{Name: "w1", Drain: true}}
+			ls.setConfig(&c)
+		}, allEvacuated, allEvacuated},
+		{"no zone evacuated, backend servers down", func(ls *loopState, now time.Time) {
+			evacuate(ls)
+			for _, ag := range ls.agents {
+				ls.updateLoad(ag, wire.Load{Slots: 8, Leaving: true, ConfigVersion: ls.config.Version}, nil, now)
+			}
+		}, noWorker, noWorker},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			n := c.start("e1")
+			c.newAgent("w1", 11, echoResult).connect(n, "")
+			// Within one event, nothing else changes and no time limit passes.
+			got, ok := postAndWait(context.Background(), n.Entry, func(ls *loopState) [2]string {
+				for i := range 3 {
+					connect(ls, fmt.Sprintf("w%d", i+2), uint64(i+12), other, []string{"cleft-assessor"}, load)
+				}
+				evacuate(ls, other)
+				tc.change(ls, ls.now())
+				now := decide(ls, ls.now())
+				after := ls.now().Add(time.Minute)
+				if len(ls.agents) == 3 {
+					ls.forgetWorkers(after)
+				}
+				return [2]string{now, decide(ls, after)}
+			})
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, got, qt.Equals, [2]string{tc.now, tc.later})
+		})
+	}
+}
+
+// connect lets an agent without a network connection count as connected.
+func connect(ls *loopState, worker string, id uint64, zone string, services []string, load wire.Load) {
+	ls.agentConnected(&agentConn{id: id, conn: &transport.Conn{}, hello: &wire.Hello{Name: worker, Incarnation: id, Zone: zone, Services: services, Load: load}})
+}
+
+// decide returns what would become of a job that arrives now, and if it waits, how it would
+// be refused if nothing changes.
+func decide(ls *loopState, now time.Time) string {
+	r := &request{sub: job(1), deadline: now.Add(5 * time.Second)}
+	ls.placement.Advance(now)
+	prefix := ""
+	if ls.awaitsWorkers(r, now) {
+		prefix = waits
+	}
+	if v, _ := ls.admit(r, false, now); v != nil {
+		return prefix + string(v.Reason) + ": " + v.Message
+	}
+	ls.admission.Release(r.sub.Team, len(r.sub.Tasks))
+	return prefix + accepted
+}
+
+// Guards against a job that is refused although the worker that could run it takes tasks
+// again before the job has waited for long.
+func TestJobWaitsForAWorkerOutsideTheEvacuatedZone(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.newAgent("w1", 11, echoResult)
+	a.connect(n, "")
+	_, ok := postAndWait(context.Background(), n.Entry, func(ls *loopState) bool {
+		connect(ls, "w2", 12, "taqah-shed", []string{"cleft-assessor"}, wire.Load{Slots: 8})
+		cfg := *ls.config
+		cfg.Version++
+		cfg.EvacuatedZones = []string{"taqah-shed"}
+		ls.setConfig(&cfg)
+		return true
+	})
+	qt.Assert(t, ok, qt.IsTrue)
+	done := make(chan reply, 1)
+	waited, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) bool {
+		ls.updateLoad(ls.agents[11], wire.Load{Slots: 8, Leaving: true}, nil, ls.now())
+		r := &request{op: wire.OpSubmit, key: newKey(t), team: "kiln", sub: job(1), wait: true, ctx: context.Background(), deadline: ls.now().Add(5 * time.Second), reply: done}
+		ls.handleRequest(r)
+		waited := len(ls.blockedRequests) == 1
+		ls.updateLoad(ls.agents[11], wire.Load{Slots: 8}, nil, ls.now())
+		return waited
+	})
+	qt.Assert(t, waited, qt.IsTrue)
+	qt.Assert(t, (<-done).answer.Verdict, qt.Equals, api.Complete)
+}
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -36,8 +36,8 @@
 }
 
 // awaitsWorkers reports whether a job has to wait because no worker of its service
-// is known yet, although one may be about to connect or to announce itself: peers
-// forward jobs to a new entry as soon as it is in the roster.
+// accepts tasks, although one may be about to connect, to announce itself or to return:
+// peers forward jobs to a new entry as soon as it is in the roster.
 func (ls *loopState) awaitsWorkers(r *request, now time.Time) bool {
 	if !r.blockedUntil.IsZero() && !now.Before(r.blockedUntil) {
 		return false
@@ -45,7 +45,7 @@
 	if ls.draining || ls.removed || ls.checkType(r.sub) != nil || ls.supply(r.sub.Service).Slots > 0 {
 		return false
 	}
-	return !ls.ready || ls.anyAgentStarting(now)
+	return !ls.ready || ls.anyAgentStarting(now) || ls.workerReturns(r.sub.Service, now)
 }
 
 // anyAgentStarting reports whether an agent connected within serviceReportTimeout and
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -25,6 +25,10 @@
 // evacuated zones. Evacuations last minutes; it is the longest hint of admission.
 const evacuatedRetryAfter = 10 * time.Second
 
+// unavailableRetryAfter is the Retry-After hint while the workers outside evacuated zones
+// accept no tasks.
+const unavailableRetryAfter = 2 * time.Second
+
 // activeJob holds what the entry keeps of a job in progress besides its record
 // in the job table.
 type activeJob struct {
@@ -112,23 +116,24 @@
 	}
 	q := admission.Request{Service: s.Service, Team: s.Team, Tasks: len(s.Tasks), TimeLeft: left}
 	v := ls.admission.Admit(now, q, ls.supply(s.Service))
-	if v != nil && v.Reason == api.ReasonNoWorker && ls.hasEvacuatedWorker(s.Service) {
+	if v != nil && v.Reason == api.ReasonNoWorker && ls.outlook(s.Service).evacuated {
 		// Unlike a service without workers, it is served again after the evacuation.
-		v = api.Refuse(api.ReasonOverload, fmt.Sprintf("the workers that serve %q are in evacuated zones", s.Service))
-		v.RetryAfter = evacuatedRetryAfter
+		v = ls.refuseEvacuated(s.Service, now)
 	}
 	return v, class
 }
 
-// hasEvacuatedWorker reports whether a worker that serves the service is in an
-// evacuated zone.
-func (ls *loopState) hasEvacuatedWorker(service string) bool {
-	for _, ag := range ls.agents {
-		if ls.config.Evacuated(ag.zone) && slices.Contains(ag.services, service) {
-			return true
-		}
+// refuseEvacuated returns the refusal of a job that only workers in evacuated zones could
+// run now.
+func (ls *loopState) refuseEvacuated(service string, now time.Time) *api.Verdict {
+	if ls.onlyEvacuatedWorkers(service, now) {
+		v := api.Refuse(api.ReasonOverload, fmt.Sprintf("the workers that serve %q are in evacuated zones", service))
+		v.RetryAfter = evacuatedRetryAfter
+		return v
 	}
-	return false
+	v := api.Refuse(api.ReasonOverload, fmt.Sprintf("no worker outside the evacuated zones accepts tasks for %q at present", service))
+	v.RetryAfter = unavailableRetryAfter
+	return v
 }
 
 // supply returns the slots of a service and the demand for them.
--- a/placement/agent.go
+++ b/placement/agent.go
@@ -178,9 +178,13 @@
 // usable reports whether the agent may get tasks of the service of its membership
 // with index m, whether or not it has a free slot.
 func (g *agent) usable(m int, now time.Time) bool {
-	return g.connected && !g.leaving && g.memberships[m].allowed && !g.health.ejected(now)
+	return g.eligible(m) && !g.health.ejected(now)
 }
 
+// eligible reports whether the agent may get tasks of the service of its membership with
+// index m as far as its connection, its own report and the configuration are concerned.
+func (g *agent) eligible(m int) bool { return g.connected && !g.leaving && g.memberships[m].allowed }
+
 // setServices replaces the services of the agent and moves it to their rankings.
 func (s *State) setServices(g *agent, services []string) {
 	same := len(services) == len(g.memberships)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -306,6 +306,29 @@
 	return supply
 }
 
+// Advance sets the time for the methods without a time argument. Without it, an ejection
+// that ends while no agent reports would last on for them.
+func (s *State) Advance(now time.Time) { s.now = now }
+
+// EjectionEnd returns when the first of the ejected agents that may otherwise get tasks of
+// the service is readmitted, and whether there is one.
+func (s *State) EjectionEnd(name string) (end time.Time, ejected bool) {
+	v := s.services[name]
+	if v == nil {
+		return end, false
+	}
+	for _, it := range v.rankings[0].items {
+		g := it.agent
+		if !g.eligible(it.membership) || !g.health.ejected(s.now) {
+			continue
+		}
+		if !ejected || g.health.ejectedUntil.Before(end) {
+			end, ejected = g.health.ejectedUntil, true
+		}
+	}
+	return end, ejected
+}
+
 // pickRandom returns, of up to n random agents on which this entry has fewer tasks
 // than slots, the one with the most estimated free slots. It returns nil if maxDraws
 // draws find none.
