link: Bound the decompressed specs of a message

A frame of up to 4 MiB may carry 16,384 compressed specs, each of up to 64 KiB after decompression. A frame of 1.7 MB therefore made an agent decompress 1 GiB. The sum is now limited to 16 MiB, and each spec is decompressed into a pooled buffer of 64 KiB whose capacity the decoder doesn't exceed, so that the limit is checked before the copy is allocated, also for a spec that doesn't declare its size or that consists of several Zstandard frames. The sender checks the same limit: its agent would close the connection. An entry that sends 1,000 starts of 4 KB stays below it. The number of starts needs no further bound: the decoder accepts 16,384 per frame, which are 2 MB.

TestSpecsOfAMessageAreBounded and TestLargestMessage fail before the change: no error for 16,384 specs of 64 KiB, with 2,282,553,776 bytes allocated, and no error for 4,195 starts of 4 KB. TestSpecsWithoutDeclaredSizeAreBounded passed before (the decoder's own limit covers it) and guards the new buffer. go test -race ./link ./runnerd and abusetest platform_agent_link pass.

--- a/link/spec.go
+++ b/link/spec.go
@@ -14,6 +14,9 @@
 	minCompressedBytes = 256
 	// maxSpecBytes bounds a decompressed spec.
 	maxSpecBytes = 64 << 10
+	// maxSpecsBytes bounds the specs of a message after decompression, in bytes.
+	// maxFrameBytes does not: 64 KiB of zeros are compressed to 100 bytes. An entry sends at most 1,000 starts with specs of 4 KB.
+	maxSpecsBytes = 16 << 20
 	// specWindowBytes is the window of the compression, which bounds its memory.
 	specWindowBytes = 8 << 10
 )
@@ -26,10 +29,15 @@
 			zstd.WithWindowSize(specWindowBytes), zstd.WithAllLitEntropyCompression(true))
 	})
 	specDecoder = sync.OnceValues(func() (*zstd.Decoder, error) {
-		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSpecBytes), zstd.WithDecoderLowmem(true))
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSpecBytes), zstd.WithDecoderLowmem(true),
+			zstd.WithDecodeAllCapLimit(true))
 	})
 )
 
+// specBuffers holds buffers for one decompressed spec. Their capacity bounds what is
+// decompressed, also of a spec that does not declare its size.
+var specBuffers = sync.Pool{New: func() any { return new([maxSpecBytes]byte) }}
+
 // SpecPacker encodes the specs of several messages. A job's spec goes to each agent that
 // runs a task of the job; it is compressed once. The zero value is ready to use. It is not
 // safe for concurrent use.
@@ -43,10 +51,14 @@
 func (p *SpecPacker) Pack(c *Commands) error {
 	c.Specs = nil
 	indexes := make(map[string]uint16, 1)
+	left := maxSpecsBytes
 	for i := range c.Starts {
 		spec := c.Starts[i].Spec
 		index, ok := indexes[spec]
 		if !ok {
+			if left -= len(spec); left < 0 {
+				return errSpecsTooLarge
+			}
 			encoded, err := p.encode(spec)
 			if err != nil {
 				return err
@@ -85,9 +97,14 @@
 	return encoded, nil
 }
 
+var errSpecsTooLarge = errors.Errorf("the specs of a message exceed the limit of %d bytes", maxSpecsBytes)
+
 // unpackSpecs sets the Spec of each start from Specs.
 func (c *Commands) unpackSpecs() error {
 	specs := make([]string, len(c.Specs))
+	left := maxSpecsBytes
+	buf := specBuffers.Get().(*[maxSpecBytes]byte)
+	defer specBuffers.Put(buf)
 	for i, s := range c.Specs {
 		data := s.Data
 		if s.Compressed {
@@ -95,10 +112,13 @@
 			if err != nil {
 				return errors.Wrap(err, "create the decoder of specs")
 			}
-			if data, err = decoder.DecodeAll(s.Data, nil); err != nil {
+			if data, err = decoder.DecodeAll(s.Data, buf[:0]); err != nil {
 				return errors.Wrap(err, "decompress a spec")
 			}
 		}
+		if left -= len(data); left < 0 {
+			return errSpecsTooLarge
+		}
 		specs[i] = string(data)
 	}
 	c.Specs = nil
--- a/link/spec_test.go
+++ b/link/spec_test.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/klauspost/compress/zstd"
 )
 
 // randomSpec returns a spec of random letters, from which only the coding of single bytes
@@ -79,6 +82,86 @@
 	}
 }
 
+// Guards against a message of a few hundred kilobytes whose specs decompress to a gigabyte.
+func TestSpecsOfAMessageAreBounded(t *testing.T) {
+	encoder, err := specEncoder()
+	qt.Assert(t, err, qt.IsNil)
+	bomb := Spec{Compressed: true, Data: encoder.EncodeAll(make([]byte, maxSpecBytes), nil)}
+	const most = maxSpecsBytes / maxSpecBytes
+	unpack := func(n int) (uint64, error) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		c := &Commands{Starts: []Start{{}}, Specs: slices.Repeat([]Spec{bomb}, n)}
+		err := c.unpackSpecs()
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc, err
+	}
+	_, err = unpack(most)
+	qt.Assert(t, err, qt.IsNil)
+	allocated, err := unpack(16 << 10)
+	qt.Check(t, err, qt.ErrorMatches, "the specs of a message exceed the limit of 16777216 bytes")
+	qt.Check(t, allocated < 2*maxSpecsBytes, qt.IsTrue, qt.Commentf("%d bytes allocated", allocated))
+	large := Spec{Data: make([]byte, maxFrameBytes)}
+	c := &Commands{Starts: []Start{{}}, Specs: slices.Repeat([]Spec{large}, maxSpecsBytes/maxFrameBytes+1)}
+	qt.Check(t, c.unpackSpecs(), qt.ErrorMatches, "the specs of a message exceed .*")
+}
+
+// Guards against a spec that exceeds its limit because it does not declare its size, or
+// because it consists of several Zstandard frames.
+func TestSpecsWithoutDeclaredSizeAreBounded(t *testing.T) {
+	var b bytes.Buffer
+	w, err := zstd.NewWriter(&b, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(specWindowBytes))
+	qt.Assert(t, err, qt.IsNil)
+	write := func(n int) []byte {
+		b.Reset()
+		w.Reset(&b)
+		for range n / maxSpecBytes {
+			_, err := w.Write(make([]byte, maxSpecBytes))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, w.Close(), qt.IsNil)
+		return bytes.Clone(b.Bytes())
+	}
+	whole := write(maxSpecBytes)
+	var h zstd.Header
+	qt.Assert(t, h.Decode(whole), qt.IsNil)
+	qt.Assert(t, h.HasFCS, qt.IsFalse)
+	for _, tc := range []struct {
+		data []byte
+		ok   bool
+	}{{whole, true}, {slices.Repeat(whole, 1000), false}, {write(64 << 20), false}} {
+		c := &Commands{Starts: []Start{{}}, Specs: []Spec{{Compressed: true, Data: tc.data}}}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := c.unpackSpecs()
+		runtime.ReadMemStats(&after)
+		if tc.ok {
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, c.Starts[0].Spec, qt.HasLen, maxSpecBytes)
+		} else {
+			qt.Check(t, err, qt.ErrorMatches, "decompress a spec: .*")
+		}
+		qt.Check(t, after.TotalAlloc-before.TotalAlloc < 1<<20, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
+	}
+}
+
+// Guards against a message that its receiver refuses, and against a limit that the largest
+// message of an entry exceeds.
+func TestLargestMessage(t *testing.T) {
+	c := &Commands{}
+	for i := range 1000 {
+		c.Starts = append(c.Starts, Start{Spec: fmt.Sprintf("%04d", i) + randomSpec(3996)})
+	}
+	got, _ := roundTrip(t, c)
+	qt.Assert(t, got.Starts[999].Spec, qt.Equals, c.Starts[999].Spec)
+	c = &Commands{}
+	for i := range maxSpecsBytes/4000 + 1 {
+		c.Starts = append(c.Starts, Start{Spec: fmt.Sprintf("%04d", i) + strings.Repeat("x", 3996)})
+	}
+	_, err := AppendFrame(nil, c)
+	qt.Assert(t, err, qt.ErrorMatches, "the specs of a message exceed .*")
+}
+
 func BenchmarkPackSpec(b *testing.B) {
 	spec := randomSpec(1200)
 	for b.Loop() {
