dispatchd: Bound the members that are announced to an entry

Each announcement under a new name added a member to the cache of an entry, with a goroutine that dials its address, and other entries took it over. An entry now keeps at most 4,096 members that its reads of the store don't list, whether they announced themselves or came in the reply of another entry. The announcement of a further one is answered with 503 and Retry-After: 3; known members stay, and rows of the store are always taken. Without more, the places would stay taken after a flood, since a full read of the members is rare: at the bound, members that the store doesn't list although it can be read, and that haven't announced themselves for 10 s, are forgotten, as a full read does. Refusals are counted (members_refused_total) and logged once until a further member is kept. A member that is refused doesn't try that entry again before Retry-After; before, it repeated its announcement every 50 ms.

Tests: TestAnnouncedMembersAreBounded, without the bound: 200 instead of 503 for member 4,097. TestAnnouncementIsRepeatedAfterRetryAfter, before: five announcements in 0.25 s. go test -race ./directory ./dispatchd passes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -109,9 +110,9 @@
 	// themselves at once takes some time for each.
 	seedDialTimeout = 75 * time.Millisecond
 	announceTimeout = 500 * time.Millisecond
-	// announceInterval is the time between two announcements to entries, which forget a
+	// AnnounceInterval is the time between two announcements to entries, which forget a
 	// member that the store does not list.
-	announceInterval = 3 * time.Second
+	AnnounceInterval = 3 * time.Second
 	// callTimeout bounds all other calls.
 	callTimeout = 1500 * time.Millisecond
 	// refreshInterval is the time between two writes of a member's row. 890 agents
@@ -294,11 +295,11 @@
 }
 
 // announceRepeatedly announces a member that the store has not taken after announceDelay,
-// every announceInterval until ctx ends.
+// every AnnounceInterval until ctx ends.
 func announceRepeatedly(ctx context.Context, seeds []string, member []byte) {
 	transport := &http.Transport{DialContext: link.Dialer(seedDialTimeout).DialContext, DisableKeepAlives: true}
 	client := &http.Client{Transport: transport, Timeout: announceTimeout}
-	for sleep(ctx, announceDelay); ctx.Err() == nil; sleep(ctx, announceInterval) {
+	for sleep(ctx, announceDelay); ctx.Err() == nil; sleep(ctx, AnnounceInterval) {
 		announce(ctx, client, seeds, member)
 	}
 }
@@ -307,31 +308,42 @@
 // order and again and again, until one of them has accepted it or ctx ends. That entry
 // passes it on to the others. An entry may be starting as well, and a host without power
 // answers nothing, so that little time is spent on each that doesn't accept connections.
+// One that answers with Retry-After is not tried before.
 func announce(ctx context.Context, client *http.Client, seeds []string, member []byte) {
 	order := rand.Perm(len(seeds))
+	notBefore := make([]time.Time, len(seeds))
 	for ctx.Err() == nil {
 		for _, i := range order {
-			if postMember(ctx, client, seeds[i], member) == nil {
+			if time.Now().Before(notBefore[i]) {
+				continue
+			}
+			retryAfter, err := postMember(ctx, client, seeds[i], member)
+			if err == nil {
 				return
 			}
+			notBefore[i] = time.Now().Add(retryAfter)
 		}
 		sleep(ctx, announceDelay)
 	}
 }
 
-func postMember(ctx context.Context, client *http.Client, seed string, member []byte) error {
+// postMember returns the time in which the entry should not be tried again after an error.
+func postMember(ctx context.Context, client *http.Client, seed string, member []byte) (retryAfter time.Duration, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+seed+Path, bytes.NewReader(member))
 	if err != nil {
-		return errors.Wrap(err, "build announcement")
+		return 0, errors.Wrap(err, "build announcement")
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "announce to an entry")
+		return 0, errors.Wrap(err, "announce to an entry")
 	}
 	if resp.StatusCode != http.StatusOK {
 		err = errors.Errorf("announce to an entry: status %d", resp.StatusCode)
+		if seconds, parseErr := strconv.Atoi(resp.Header.Get("Retry-After")); parseErr == nil && seconds > 0 {
+			retryAfter = min(time.Duration(seconds)*time.Second, AnnounceInterval)
+		}
 	}
-	return cmp.Or(err, resp.Body.Close())
+	return retryAfter, cmp.Or(err, resp.Body.Close())
 }
 
 // RemoveMember removes the row of a member that has been unreachable for
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -273,6 +275,35 @@
 	qt.Assert(t, announcements.Load(), qt.Equals, int32(members))
 }
 
+// Guards against members that keep an entry busy which keeps no further member: it would get
+// twenty announcements a second from each.
+func TestAnnouncementIsRepeatedAfterRetryAfter(t *testing.T) {
+	var full, starting atomic.Int32
+	server := func(count *atomic.Int32, retryAfter string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			count.Add(1)
+			if retryAfter != "" {
+				w.Header().Set("Retry-After", retryAfter)
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	seeds := []string{server(&full, "3"), server(&starting, "")}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	done, began := make(chan struct{}), time.Now()
+	go func() { announce(ctx, &http.Client{}, seeds, []byte("{}")); close(done) }()
+	for starting.Load() < 5 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	qt.Assert(t, starting.Load() >= 5, qt.IsTrue)
+	qt.Assert(t, int(full.Load()) <= 1+int(time.Since(began)/(3*time.Second)), qt.IsTrue, qt.Commentf("%d announcements", full.Load()))
+	cancel()
+	<-done
+}
+
 func TestRowOfAnUnreachableMemberIsRemoved(t *testing.T) {
 	f := &fakeStore{}
 	RemoveMember(context.Background(), f, "a1", testLog())
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -173,7 +173,7 @@
 			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
-		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
+		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, unlisted: map[string]struct{}{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
 		metrics: newMetrics(o.Metrics),
 	}
 }
--- a/dispatchd/knowledge.go
+++ b/dispatchd/knowledge.go
@@ -16,6 +16,11 @@
 // row, every few seconds at most.
 const announcedRetention = 10 * time.Second
 
+// maxUnlisted bounds the members that an entry keeps although the store has not listed them.
+// Anyone who reaches the directory address can announce some. A deployment of the design
+// size has 925 members.
+const maxUnlisted = 4096
+
 // directoryCache is what an entry has read from the store or from other
 // entries.
 type directoryCache struct {
@@ -23,6 +28,12 @@
 	members map[string]directory.Member
 	// announced holds, by name, when members announced themselves.
 	announced map[string]time.Time
+	// unlisted holds the names of the members that were announced, here or to another entry,
+	// and that this entry has not read from the store.
+	unlisted map[string]struct{}
+	// refusalLogged says that a line was logged about members refused because of maxUnlisted.
+	// It is cleared when a further one is kept.
+	refusalLogged bool
 	// revision counts the changes of members, and changedAt holds, by member, the revision
 	// of its last change. changed is closed and replaced with each change of the members or
 	// of the configuration.
@@ -68,13 +79,19 @@
 	d.cache.membersRead = true
 	if full {
 		d.cache.members = d.cache.recentlyAnnounced(time.Now())
+		clear(d.cache.unlisted)
+		for name := range d.cache.members {
+			d.cache.unlisted[name] = struct{}{}
+		}
 		clear(d.cache.peerRevisions)
 	} else {
 		known = maps.Clone(known)
 	}
 	for _, r := range rows {
+		delete(d.cache.unlisted, r.Key)
 		if r.Deleted {
 			delete(d.cache.members, r.Key)
+			delete(d.cache.announced, r.Key)
 			d.rejected.Remove(r.Key)
 			continue
 		}
@@ -265,12 +282,26 @@
 }
 
 // mergeMembers adds members that are not cached yet. If announced is not empty,
-// the members announced themselves, and cached rows that differ are replaced.
-func (d *Dispatcher) mergeMembers(members []directory.Member, announced string) {
+// the members announced themselves, and cached rows that differ are replaced. It returns
+// the number of members that were refused because maxUnlisted is reached.
+func (d *Dispatcher) mergeMembers(members []directory.Member, announced string) (refused int) {
 	changed := false
+	now := time.Now()
 	d.cache.mu.Lock()
 	for _, m := range members {
-		if old, ok := d.cache.members[m.Name]; !ok || announced != "" && old != m {
+		old, known := d.cache.members[m.Name]
+		if !known {
+			if len(d.cache.unlisted) >= maxUnlisted && d.cache.forgetUnlisted(now) {
+				changed = true
+			}
+			if len(d.cache.unlisted) >= maxUnlisted {
+				refused++
+				continue
+			}
+			d.cache.unlisted[m.Name] = struct{}{}
+			d.cache.refusalLogged = false
+		}
+		if !known || announced != "" && old != m {
 			if !changed {
 				changed = true
 				d.cache.revision++
@@ -278,14 +309,48 @@
 			d.cache.members[m.Name], d.cache.changedAt[m.Name] = m, d.cache.revision
 		}
 		if announced != "" {
-			d.cache.announced[m.Name] = time.Now()
+			d.cache.announced[m.Name] = now
 		}
 	}
 	if changed {
 		d.cache.notify()
 	}
+	log := refused > 0 && !d.cache.refusalLogged
+	if log {
+		d.cache.refusalLogged = true
+	}
 	d.cache.mu.Unlock()
+	if refused > 0 {
+		d.metrics.membersRefused.Inc(int64(refused))
+	}
+	if log {
+		d.opts.Log.Add(decisions.Warn("announced members refused: too many of them are not in the store", "refused", refused, "bound", maxUnlisted))
+	}
 	if changed {
 		d.updateMembers()
 	}
+	return refused
+}
+
+// forgetUnlisted forgets the members that the store does not list although it can be read,
+// and that have not announced themselves lately. It reports whether there were any.
+func (c *directoryCache) forgetUnlisted(now time.Time) bool {
+	if !c.membersRead || c.membersReadFailing {
+		return false
+	}
+	before := len(c.unlisted)
+	for name := range c.unlisted {
+		if now.Sub(c.announced[name]) <= announcedRetention {
+			continue
+		}
+		delete(c.unlisted, name)
+		delete(c.announced, name)
+		delete(c.members, name)
+		delete(c.changedAt, name)
+	}
+	if len(c.unlisted) == before {
+		return false
+	}
+	c.revision++
+	return true
 }
--- a/dispatchd/knowledge_test.go
+++ b/dispatchd/knowledge_test.go
@@ -1,6 +1,7 @@
 package dispatchd
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -210,6 +211,81 @@
 	}
 }
 
+// Guards against memory and connections that grow with each name that somebody announces, and
+// against members that go on unknown after that although the store lists them or can be read.
+func TestAnnouncedMembersAreBounded(t *testing.T) {
+	d := newTestDispatcher(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case <-d.events:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	handler := d.DirectoryHandler()
+	member := func(name, address string) directory.Member {
+		return directory.Member{Name: name, Role: directory.RoleEntry, Directory: address}
+	}
+	post := func(m directory.Member) *httptest.ResponseRecorder {
+		body, err := json.Marshal(m)
+		qt.Assert(t, err, qt.IsNil)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, directory.Path, bytes.NewReader(body)))
+		return w
+	}
+	members := func() int { return len(d.cache.members) }
+	// Rows of the store don't count.
+	var rows []directory.Row
+	for i := range 925 {
+		name := fmt.Sprintf("listed-%d", i)
+		rows = append(rows, directory.Row{Key: name, Value: fmt.Appendf(nil, `{"name":%q,"role":"entry","directory":"10.1.0.1:7720"}`, name)})
+	}
+	d.applyMembers(rows, true, 1)
+	const bound = 4096
+	for i := range bound {
+		qt.Assert(t, post(member(fmt.Sprint(i), "10.1.0.1:7720")).Code, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, members(), qt.Equals, bound+925)
+	waiting := d.opts.Log.Waiting()
+	for i := range 3 {
+		w := post(member(fmt.Sprint("new-", i), "10.1.0.1:7720"))
+		qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, w.Header().Get("Retry-After"), qt.Equals, "3")
+	}
+	qt.Assert(t, members(), qt.Equals, bound+925)
+	qt.Assert(t, d.opts.Log.Waiting(), qt.Equals, waiting+1)
+	// Neither does another entry add any, and known members still change their address.
+	qt.Assert(t, d.mergeMembers([]directory.Member{member("new-0", "10.1.0.1:7720")}, ""), qt.Equals, 1)
+	for _, name := range []string{"7", "listed-7"} {
+		qt.Assert(t, post(member(name, "10.1.0.2:7720")).Code, qt.Equals, http.StatusOK)
+		qt.Assert(t, d.cache.members[name].Directory, qt.Equals, "10.1.0.2:7720")
+	}
+	// A member that the store lists gives its place to another one.
+	d.applyMembers([]directory.Row{{Key: "7", Value: []byte(`{"name":"7","role":"entry","directory":"10.1.0.1:7720"}`)}}, false, 2)
+	qt.Assert(t, post(member("new-0", "10.1.0.1:7720")).Code, qt.Equals, http.StatusOK)
+	qt.Assert(t, post(member("new-1", "10.1.0.1:7720")).Code, qt.Equals, http.StatusServiceUnavailable)
+
+	// Those that don't repeat their announcement are forgotten only while the store can be read.
+	for name := range d.cache.announced {
+		if name != "new-0" {
+			d.cache.announced[name] = time.Now().Add(-2 * announcedRetention)
+		}
+	}
+	d.cache.membersReadFailing = true
+	qt.Assert(t, post(member("new-1", "10.1.0.1:7720")).Code, qt.Equals, http.StatusServiceUnavailable)
+	d.cache.membersReadFailing = false
+	qt.Assert(t, post(member("new-1", "10.1.0.1:7720")).Code, qt.Equals, http.StatusOK)
+	qt.Assert(t, members(), qt.Equals, 925+1+2)
+	for _, name := range []string{"7", "listed-7", "new-0", "new-1"} {
+		_, ok := d.cache.members[name]
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
+
 // silentStore answers no call.
 type silentStore struct{ directory.Store }
 
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -29,6 +29,7 @@
 	evacuationRefusals                                      tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
+	membersRefused                                          tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -53,7 +54,8 @@
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
-		leaveMoves: scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
+		membersRefused: scope.Counter("members_refused_total"),
+		leaveMoves:     scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -116,7 +116,10 @@
 		if err != nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
-		d.mergeMembers([]directory.Member{m}, "announced by itself")
+		if d.mergeMembers([]directory.Member{m}, "announced by itself") > 0 {
+			c.Response().Header().Set("Retry-After", strconv.Itoa(int(directory.AnnounceInterval/time.Second)))
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
 		return c.NoContent(http.StatusOK)
 	})
 	return e
