directory: Bound the length of a member's address

An IPv6 address may have a zone of any length, so that an announced member could have an address of 60 KB, and 4,096 of them 250 MB. An address now has at most 100 bytes; the longest one with a port and an interface name has 69.

The new case of TestOddMembersAreRejected fails before the change: the member is accepted. go test -race ./directory passes.

--- a/directory/member.go
+++ b/directory/member.go
@@ -13,6 +13,9 @@
 const (
 	// maxNameBytes bounds the name of a member, in bytes: it is the key of a row.
 	maxNameBytes = 200
+	// maxAddressBytes bounds an address, in bytes. Without it, an IPv6 address can have a
+	// zone of any length.
+	maxAddressBytes = 100
 	// maxRejected bounds the rejected entries that are remembered.
 	maxRejected = 1000
 )
@@ -43,6 +46,9 @@
 }
 
 func validAddress(address string) bool {
+	if len(address) > maxAddressBytes {
+		return false
+	}
 	a, err := netip.ParseAddrPort(address)
 	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified()
 }
--- a/directory/member_test.go
+++ b/directory/member_test.go
@@ -24,6 +24,7 @@
 		{address("host:7720"), `.*not an IP address and port`},
 		{address("10.1.0.1"), `.*not an IP address and port`},
 		{address(strings.Repeat("1", 64<<10)), `.*not an IP address and port`},
+		{address("[fe80::1%" + strings.Repeat("x", 60000) + "]:7720"), `.*not an IP address and port`},
 		{address(""), `.*has no address`},
 		{`{"name":"a1","role":"agent"}`, `.*has no address`},
 		{`{"name":"a1","role":"entry","address":"10.1.0.1:7720"}`, `.*has no address`},
