signals: Handle signals from the first milliseconds of a process

Cause: signal.Notify was called after flags, settings, credentials, metrics and log had been set up. Until then the runtime ends a process at SIGHUP and SIGTERM. The daemons of the own interface had the same fault, and ended at SIGHUP at any time.

Change: package signals/early, which only main packages import, calls Notify when it is initialized. It imports nothing but os, os/signal and syscall, so that the runtime initializes it right after os/signal and before all others. The channel is passed to host and daemon. signals.Await watches it while the settings are read: SIGTERM ends the process with exit code 0 and a log line, also while the file hangs (1 with -check, since nothing was checked); a reload is carried out once the settings are in force. The daemons of the own interface, which have nothing to reload, log that SIGHUP is ignored.

daemon.TestSignals passes its signals through the channel instead of sending them to the test process; it checks one case more (SIGHUP).

--- a/cmd/sesamelift-agent/main.go
+++ b/cmd/sesamelift-agent/main.go
@@ -8,6 +8,7 @@
 	"github.com/sesamelift/sesamelift/agent"
 	"github.com/sesamelift/sesamelift/daemon"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/signals/early"
 )
 
 func main() { os.Exit(newDaemon().Run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -15,7 +16,7 @@
 func newDaemon() *daemon.Daemon {
 	var s settings.Agent
 	return &daemon.Daemon{
-		Name: "sesamelift-agent", EnvPrefix: "SESAMELIFT_AGENT", MetricsPrefix: "sesamelift_agent",
+		Name: "sesamelift-agent", EnvPrefix: "SESAMELIFT_AGENT", MetricsPrefix: "sesamelift_agent", Signals: early.Received(),
 		Read: func(file string) (daemon.CommonSettings, error) {
 			err := settings.Read(file, &s)
 			return daemon.CommonSettings{
--- a/cmd/sesamelift-entry/main.go
+++ b/cmd/sesamelift-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/sesamelift/sesamelift/daemon"
 	"github.com/sesamelift/sesamelift/entry"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/signals/early"
 )
 
 func main() { os.Exit(newDaemon().Run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -18,7 +19,7 @@
 func newDaemon() *daemon.Daemon {
 	var s settings.Entry
 	return &daemon.Daemon{
-		Name: "sesamelift-entry", EnvPrefix: "SESAMELIFT_ENTRY", MetricsPrefix: "sesamelift_entry",
+		Name: "sesamelift-entry", EnvPrefix: "SESAMELIFT_ENTRY", MetricsPrefix: "sesamelift_entry", Signals: early.Received(),
 		Read: func(file string) (daemon.CommonSettings, error) {
 			err := settings.Read(file, &s)
 			return daemon.CommonSettings{
--- a/cmd/sesamelift-platform-agent/main.go
+++ b/cmd/sesamelift-platform-agent/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/sesamelift/sesamelift/host"
+	"github.com/sesamelift/sesamelift/signals/early"
 )
 
-func main() { os.Exit(host.RunAgent(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(host.RunAgent(os.Args[1:], early.Received(), os.Stdout, os.Stderr)) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime"
 	"syscall"
 	"time"
@@ -21,6 +20,7 @@
 
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/signals"
 	"github.com/sesamelift/sesamelift/table"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/telemetry/tracing"
@@ -70,6 +70,8 @@
 	EnvPrefix string
 	// MetricsPrefix is the prefix of metric names.
 	MetricsPrefix string
+	// Signals are the signals of the process.
+	Signals <-chan os.Signal
 	// Read reads the settings file. Its error lists all faults of the file.
 	Read func(file string) (CommonSettings, error)
 	// Serve runs until drain is cancelled and then completes the work in
@@ -106,28 +108,40 @@
 }
 
 func (d *Daemon) start(file string, check bool, stdout, stderr io.Writer) int {
-	s, err := d.Read(file)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitUsage
+	type configuration struct {
+		settings    CommonSettings
+		credentials *transport.Credentials
+	}
+	c, reload, err := signals.Await(d.Signals, func() (c configuration, err error) {
+		if c.settings, err = d.Read(file); err != nil {
+			return c, err
+		}
+		c.credentials, err = transport.LoadCredentials(c.settings.TLS)
+		return c, errors.Wrap(err, file)
+	})
+	if errors.Is(err, signals.ErrTerminated) {
+		telemetry.NewLogger(d.Name, settings.Logging{}, stderr).Info(err.Error())
+		if check {
+			return ExitFailed
+		}
+		return ExitOK
 	}
-	creds, err := transport.LoadCredentials(s.TLS)
 	if err != nil {
-		fmt.Fprintf(stderr, "%s: %v\n", file, err)
+		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
 	if check {
 		fmt.Fprintf(stdout, "%s: settings are valid\n", file)
 		return ExitOK
 	}
-	if err := d.serve(s, creds, stderr); err != nil {
+	if err := d.serve(c.settings, c.credentials, reload, stderr); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", d.Name, err)
 		return ExitFailed
 	}
 	return ExitOK
 }
 
-func (d *Daemon) serve(s CommonSettings, creds *transport.Credentials, out io.Writer) error {
+func (d *Daemon) serve(s CommonSettings, creds *transport.Credentials, reload bool, out io.Writer) error {
 	if s.Processors > 0 {
 		runtime.GOMAXPROCS(s.Processors)
 	}
@@ -142,39 +156,45 @@
 		defer cancel()
 		_ = flush(ctx)
 	}()
-	return supervise(func(drain, stop context.Context) error {
+	log := telemetry.NewLogger(d.Name, s.Logging, out)
+	ignoreReload := func() { log.Warn("reload signal ignored: settings take effect at the next start") }
+	if reload {
+		ignoreReload()
+	}
+	return supervise(d.Signals, ignoreReload, func(drain, stop context.Context) error {
 		return d.Serve(drain, stop, Dependencies{
 			Credentials: creds, Platform: platform.NewStore(s.PlatformAddress),
-			Log:     telemetry.NewLogger(d.Name, s.Logging, out),
-			Metrics: scope, MetricsHandler: handler, Tracer: tracer,
+			Log: log, Metrics: scope, MetricsHandler: handler, Tracer: tracer,
 		})
 	})
 }
 
 // supervise calls serve and returns its error. It cancels drain at the first
-// signal and stop at the second.
-func supervise(serve func(drain, stop context.Context) error) error {
+// signal to terminate and stop at the second, and calls ignoreReload at SIGHUP.
+func supervise(received <-chan os.Signal, ignoreReload func(), serve func(drain, stop context.Context) error) error {
 	drain, cancelDrain := context.WithCancel(context.Background())
 	defer cancelDrain()
 	stop, cancelStop := context.WithCancel(context.Background())
 	defer cancelStop()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	var g run.Group
 	g.Add(func() error { return serve(drain, stop) }, func(error) { cancelDrain(); cancelStop() })
 	g.Add(func() error {
-		for _, cancel := range []func(){cancelDrain, cancelStop} {
+		for {
 			select {
-			case <-signals:
-				cancel()
+			case s := <-received:
+				switch {
+				case s == syscall.SIGHUP:
+					ignoreReload()
+				case drain.Err() == nil:
+					cancelDrain()
+				default:
+					cancelStop()
+				}
 			case <-ended:
 				return nil
 			}
 		}
-		<-ended
-		return nil
 	}, func(error) { close(ended) })
 	return g.Run()
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -11,16 +11,20 @@
 )
 
 // Guards against a first signal that does not start the drain, a second signal
-// that does not stop the daemon, and an error of Serve that is not returned.
+// that does not stop the daemon, a SIGHUP that does either, and an error of Serve that is not returned.
 func TestSignals(t *testing.T) {
-	sendSignal := func() { _ = syscall.Kill(os.Getpid(), syscall.SIGTERM) }
-	err := supervise(func(drain, stop context.Context) error {
+	received := make(chan os.Signal, 1)
+	sendSignal := func() { received <- syscall.SIGTERM }
+	reloads := 0
+	ignoreReload := func() { reloads++ }
+	err := supervise(received, ignoreReload, func(drain, stop context.Context) error {
 		sendSignal()
 		<-drain.Done()
 		return stop.Err()
 	})
 	qt.Assert(t, err, qt.IsNil)
-	err = supervise(func(drain, stop context.Context) error {
+	err = supervise(received, ignoreReload, func(drain, stop context.Context) error {
+		received <- syscall.SIGHUP
 		sendSignal()
 		<-drain.Done()
 		sendSignal()
@@ -28,6 +32,7 @@
 		return ErrStopped
 	})
 	qt.Assert(t, err, qt.Equals, ErrStopped)
+	qt.Assert(t, reloads, qt.Equals, 1)
 	failed := errors.New("failed")
-	qt.Assert(t, supervise(func(context.Context, context.Context) error { return failed }), qt.Equals, failed)
+	qt.Assert(t, supervise(received, ignoreReload, func(context.Context, context.Context) error { return failed }), qt.Equals, failed)
 }
--- a/host/agent.go
+++ b/host/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
@@ -12,9 +13,9 @@
 )
 
 // RunAgent runs an agent with the given arguments, without the program name, until it is
-// terminated, and returns the exit code.
-func RunAgent(args []string, stdout, stderr io.Writer) int {
-	return runCommand("sesamelift-platform-agent", true, args, stdout, stderr, setupAgent)
+// terminated, and returns the exit code. received are the signals of the process.
+func RunAgent(args []string, received <-chan os.Signal, stdout, stderr io.Writer) int {
+	return runCommand("sesamelift-platform-agent", true, args, received, stdout, stderr, setupAgent)
 }
 
 func setupAgent(p *process) error {
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -168,7 +168,7 @@
 	d.Assert(err, qt.IsNil)
 	go func() {
 		defer close(p.exited)
-		if err := start(p.ctx, program, p.agent, "", p.settings, t, d.log, setup); err != nil {
+		if err := start(p.ctx, program, p.settings, t, signalRequests{}, d.log, setup); err != nil {
 			d.t.Errorf("%s: %v", p.name, err)
 		}
 	}()
--- a/host/entry.go
+++ b/host/entry.go
@@ -3,15 +3,16 @@
 import (
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/sesamelift/sesamelift/dispatchd"
 	"github.com/sesamelift/sesamelift/platform"
 )
 
 // RunEntry runs an entry with the given arguments, without the program name, until it is
-// terminated, and returns the exit code.
-func RunEntry(args []string, stdout, stderr io.Writer) int {
-	return runCommand("sesamelift-platform-entry", false, args, stdout, stderr, setupEntry)
+// terminated, and returns the exit code. received are the signals of the process.
+func RunEntry(args []string, received <-chan os.Signal, stdout, stderr io.Writer) int {
+	return runCommand("sesamelift-platform-entry", false, args, received, stdout, stderr, setupEntry)
 }
 
 func setupEntry(p *process) error {
--- a/host/host.go
+++ b/host/host.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -21,12 +20,14 @@
 	"github.com/oklog/run"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/platform"
 	"github.com/sesamelift/sesamelift/settings"
+	"github.com/sesamelift/sesamelift/signals"
 	"github.com/sesamelift/sesamelift/telemetry"
 	"github.com/sesamelift/sesamelift/timing"
 	"github.com/sesamelift/sesamelift/version"
@@ -70,7 +71,8 @@
 // runCommand runs an agent if agent is true, otherwise an entry, and returns the exit
 // code: 2 for invalid arguments or settings, 1 for a failure at run time. args exclude
 // the program name. The platform sets the path of the settings file in the environment.
-func runCommand(program string, agent bool, args []string, stdout, stderr io.Writer, setup setupFunc) int {
+// received are the signals of the process.
+func runCommand(program string, agent bool, args []string, received <-chan os.Signal, stdout, stderr io.Writer, setup setupFunc) int {
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	check := flags.Bool("check", false, "check the settings file that "+platform.SettingsVariable+" names, and exit")
@@ -94,7 +96,14 @@
 		fmt.Fprintf(stderr, "%s: %s must hold the path of the settings file\n", program, platform.SettingsVariable)
 		return exitUsage
 	}
-	s, err := platform.ReadSettings(file, agent)
+	s, reload, err := signals.Await(received, func() (*platform.Settings, error) { return platform.ReadSettings(file, agent) })
+	if errors.Is(err, signals.ErrTerminated) {
+		decisions.Info(err.Error()).Write(newLogger(program, stdout))
+		if *check {
+			return exitFailed
+		}
+		return exitOK
+	}
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
@@ -108,22 +117,28 @@
 		fmt.Fprintf(stdout, "%s: settings are valid\n", file)
 		return exitOK
 	}
-	if err := start(context.Background(), program, agent, file, s, t, stdout, setup); err != nil {
+	requests := signalRequests{received: received, reload: reload, recheck: func(p *process) { p.recheckSettings(file, agent) }}
+	if err := start(context.Background(), program, s, t, requests, stdout, setup); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", program, err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// newLogger returns the logger of an entry or agent. The platform's settings don't configure it.
+func newLogger(program string, out io.Writer) *logrus.Entry {
+	return telemetry.NewLogger(program, settings.Logging{Level: "info", Format: "json"}, out)
+}
+
 // start runs an entry or agent until it has drained after a termination signal or
 // the end of ctx, or until one of its servers fails.
-func start(ctx context.Context, program string, agent bool, file string, s *platform.Settings, t timing.Timings, out io.Writer, setup setupFunc) error {
+func start(ctx context.Context, program string, s *platform.Settings, t timing.Timings, requests signalRequests, out io.Writer, setup setupFunc) error {
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimit)))
 	}
 	scope, metricsHandler, closer := telemetry.NewMetrics("sesamelift")
 	defer func() { _ = closer.Close() }()
-	log := decisions.New(telemetry.NewLogger(program, settings.Logging{Level: "info", Format: "json"}, out).WithField("host", s.Name))
+	log := decisions.New(newLogger(program, out).WithField("host", s.Name))
 	drainCtx, startDrain := context.WithCancel(ctx)
 	defer startDrain()
 	p := &process{
@@ -137,7 +152,7 @@
 	defer func() { stopLog(); <-logDone }()
 	log.Add(decisions.Info("started", "version", version.String(), "incarnation", p.incarnation, "zone", s.Zone,
 		"lease_ms", t.Lease.Milliseconds(), "silence_ms", t.SilenceTimeout.Milliseconds(), "loss_wait_ms", t.RestartDelay.Milliseconds()))
-	p.handleSignals(startDrain, file, agent)
+	p.handleSignals(startDrain, requests)
 	p.operators.Handle("/", metricsHandler)
 	if _, err := p.addServer("metrics", s.MetricsAddress, p.operators, p.serviceListener("metrics")); err != nil {
 		return err
@@ -150,20 +165,29 @@
 	return err
 }
 
+// signalRequests are the signals of a process, and what it does at a request to reload.
+type signalRequests struct {
+	received <-chan os.Signal
+	// reload says that a reload was requested before the settings were in force.
+	reload  bool
+	recheck func(p *process)
+}
+
 // handleSignals starts the drain on SIGINT and SIGTERM, and validates the settings
 // file again on SIGHUP.
-func (p *process) handleSignals(startDrain func(), file string, agent bool) {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+func (p *process) handleSignals(startDrain func(), requests signalRequests) {
 	stop := make(chan struct{})
 	p.group.Add(func() error {
+		if requests.reload {
+			requests.recheck(p)
+		}
 		for {
 			select {
 			case <-stop:
 				return nil
-			case sig := <-signals:
+			case sig := <-requests.received:
 				if sig == syscall.SIGHUP {
-					p.recheckSettings(file, agent)
+					requests.recheck(p)
 					continue
 				}
 				p.log.Add(decisions.Info("termination signal received", "signal", sig.String()))
--- a/host/path_test.go
+++ b/host/path_test.go
@@ -391,12 +391,12 @@
 	c.Assert(os.WriteFile(file, []byte("zone: z1\nip: nowhere\ninternal_ports: [5]\nbounds: {hold_max_ms: soon}\nplatform: {address: x}\n"), 0o600), qt.IsNil)
 	t.Setenv(platform.SettingsVariable, file)
 	var out, errOut strings.Builder
-	c.Assert(RunEntry([]string{"-check"}, &out, &errOut), qt.Equals, 2)
+	c.Assert(RunEntry([]string{"-check"}, nil, &out, &errOut), qt.Equals, 2)
 	for _, text := range []string{"node_name", "ip", "internal_ports", "hold_max_ms", "platform.address", "listen_addrs.front", "soon"} {
 		c.Assert(errOut.String(), qt.Contains, text)
 	}
 	t.Setenv(platform.SettingsVariable, "")
-	c.Assert(RunAgent(nil, io.Discard, &errOut), qt.Equals, 2)
+	c.Assert(RunAgent(nil, nil, io.Discard, &errOut), qt.Equals, 2)
 }
 
 // Guards against malformed announcements that are accepted or that end the agent's
