directory: Let no hanging call of the store delay the next attempt

Cause: a read for changes lasts up to 5.2 s and is repeated every 1.7 s, but at most three were under way. The fourth attempt came after the first had timed out, 6.8 s after it. Writes of a member's row had the same fault in another form: one write at a time, of up to 4 s.

Change: a hedge allows as many calls as its delay and timeout call for, so that one is made after each delay (four at most with the default bounds). The delay is timing.Timings.StoreAttemptInterval, derived from the new optional bound contact_ms of the settings (default 3,000 ms: 1.7 s as before). Writes of a member's row that may last longer than this are repeated as well; they are equal, so that their order doesn't matter. Other callers of the store give up each call after 1.5 s (announcements, removal of members), or belong to the product's own interface, whose settings have no such bound.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,11 +82,9 @@
 }
 
 const (
-	// pollWait is how long the store may delay the reply to a read for changes while
-	// there are none. After pollWait and pollMargin the read is repeated, so that a lost
-	// connection is detected within 1.7 s, which is below the 2 s in which a
-	// configuration must take effect. A slow store may answer until maxPollMargin.
-	pollWait      = 1200 * time.Millisecond
+	// A read for changes is repeated after the attempt interval, so that a lost connection
+	// is detected within it. The store may delay its reply, while there are no changes, for
+	// pollMargin less. A slow store may answer until maxPollMargin after that.
 	pollMargin    = 500 * time.Millisecond
 	maxPollMargin = 4 * time.Second
 	// firstReadDelay is the time after which a read of a whole table is repeated. A
@@ -97,7 +95,7 @@
 	loadTimeout = 3 * time.Second
 	loadDelay   = 500 * time.Millisecond
 	// firstPutTimeout and maxPutTimeout bound the first and the later writes of a
-	// member's row.
+	// member's row. A write is repeated after the attempt interval even if it has no answer.
 	firstPutTimeout = 400 * time.Millisecond
 	maxPutTimeout   = 4 * time.Second
 	// announceDelay is how long the store may take for the row of a member before the
@@ -129,11 +127,17 @@
 
 var (
 	// firstReadHedge makes a call every firstReadDelay until one is answered.
-	firstReadHedge = hedge{delay: firstReadDelay, timeout: callTimeout, limit: int(callTimeout/firstReadDelay) + 1}
-	loadHedge      = hedge{delay: loadDelay, timeout: callTimeout, limit: int(callTimeout / loadDelay)}
-	changesHedge   = hedge{delay: pollWait + pollMargin, timeout: pollWait + maxPollMargin, limit: 3}
+	firstReadHedge = newHedge(firstReadDelay, callTimeout)
+	loadHedge      = newHedge(loadDelay, callTimeout)
 )
 
+// changesRead returns how changes are read with the given attempt interval, and how long the
+// store may delay its reply while there are none.
+func changesRead(attemptInterval time.Duration) (h hedge, wait time.Duration) {
+	wait = attemptInterval - min(pollMargin, attemptInterval/3)
+	return newHedge(attemptInterval, wait+maxPollMargin), wait
+}
+
 // errUnanswered is logged when a read is repeated because it has no answer yet.
 var errUnanswered = errors.New("no answer in time")
 
@@ -142,9 +146,11 @@
 // the store at which they were read. The version never decreases between calls, except with
 // a full read after the first, which may be older than the read before. It calls setFailing
 // with true when a read fails or has no answer in time, and with false after each read
-// that succeeds.
-func Watch(ctx context.Context, s Store, table string, log *decisions.Log, apply func(rows []Row, full bool, version uint64), setFailing func(bool)) {
+// that succeeds. attemptInterval is the longest time between two reads, also while earlier
+// ones have no answer.
+func Watch(ctx context.Context, s Store, table string, attemptInterval time.Duration, log *decisions.Log, apply func(rows []Row, full bool, version uint64), setFailing func(bool)) {
 	w := watcher{store: s, table: table, log: log, setFailing: setFailing}
+	w.changesHedge, w.changesWait = changesRead(attemptInterval)
 	for ctx.Err() == nil {
 		rows, full, err := w.poll(ctx)
 		if ctx.Err() != nil {
@@ -167,6 +173,9 @@
 	table      string
 	log        *decisions.Log
 	setFailing func(bool)
+	// changesHedge and changesWait say how changes are read.
+	changesHedge hedge
+	changesWait  time.Duration
 	// version is the version up to which the table has been read, or 0 if it must be
 	// read in full.
 	version uint64
@@ -199,8 +208,8 @@
 		}
 		return r.rows, true, err
 	}
-	r, err := run(ctx, changesHedge, func(ctx context.Context) (r reading, err error) {
-		r.rows, r.version, err = w.store.Changes(ctx, w.table, after, pollWait)
+	r, err := run(ctx, w.changesHedge, func(ctx context.Context) (r reading, err error) {
+		r.rows, r.version, err = w.store.Changes(ctx, w.table, after, w.changesWait)
 		return r, err
 	}, unanswered)
 	if errors.Is(err, ErrHistoryTruncated) {
@@ -257,9 +266,9 @@
 
 // Register writes the row of a member and rewrites it every refreshInterval, since
 // an entry that could not reach the member may have removed it. Failed writes are
-// retried; meanwhile the member announces itself to seeds, the addresses of entries. It
-// returns when ctx ends.
-func Register(ctx context.Context, s Store, m Member, seeds []string, log *decisions.Log) {
+// retried, at the latest after attemptInterval; meanwhile the member announces itself to
+// seeds, the addresses of entries. It returns when ctx ends.
+func Register(ctx context.Context, s Store, m Member, seeds []string, attemptInterval time.Duration, log *decisions.Log) {
 	value, err := json.Marshal(m)
 	if err != nil {
 		log.Add(decisions.Warn("cannot encode the member row", "error", err.Error()))
@@ -270,7 +279,7 @@
 		var announcing sync.WaitGroup
 		announcing.Go(func() { announceRepeatedly(announceCtx, seeds, value) })
 		for failures := 1; ctx.Err() == nil; failures++ {
-			err := putWithTimeout(ctx, s, MembersTable, m.Name, value, putTimeout(failures))
+			err := putMember(ctx, s, m.Name, value, putTimeout(failures), attemptInterval)
 			if err == nil {
 				log.Add(decisions.Info("registered in the directory", "name", m.Name, "address", m.Address, "failures", failures-1))
 				break
@@ -286,6 +295,19 @@
 	}
 }
 
+// putMember writes the row of a member. A write that may take longer than attemptInterval is
+// repeated meanwhile. Repeated writes are equal, so that it doesn't matter which of them is
+// the last.
+func putMember(ctx context.Context, s Store, name string, value []byte, timeout, attemptInterval time.Duration) error {
+	if timeout <= attemptInterval {
+		return putWithTimeout(ctx, s, MembersTable, name, value, timeout)
+	}
+	_, err := run(ctx, newHedge(attemptInterval, maxPutTimeout), func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.Put(ctx, MembersTable, name, value)
+	}, s.CloseIdleConnections)
+	return err
+}
+
 // putTimeout returns the timeout of a write of the member row. It is short at first,
 // since a store that was silent never answers the calls that it received meanwhile, and
 // grows for a store that is slow.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -17,6 +17,9 @@
 	"github.com/sesamelift/sesamelift/decisions"
 )
 
+// attemptInterval is the one with the default bounds.
+const attemptInterval = 1700 * time.Millisecond
+
 // fakeStore is a Store whose rows, errors and delays are set by the test.
 type fakeStore struct {
 	mu      sync.Mutex
@@ -142,7 +145,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		Watch(ctx, f, "t", testLog(), func(rows []Row, isFull bool, version uint64) {
+		Watch(ctx, f, "t", attemptInterval, testLog(), func(rows []Row, isFull bool, version uint64) {
 			mu.Lock()
 			defer mu.Unlock()
 			f.applied(version)
@@ -197,7 +200,7 @@
 	state := startWatch(t, f)
 	eventually(t, time.Second, func() bool { value, _, _ := state(); return value == "1" })
 	f.set(func() {
-		f.latency, f.version, f.rows["a"] = pollWait+2*pollMargin-100*time.Millisecond, 5, []byte("2")
+		f.latency, f.version, f.rows["a"] = attemptInterval+pollMargin-100*time.Millisecond, 5, []byte("2")
 	})
 	eventually(t, 6*time.Second, func() bool { value, _, _ := state(); return value == "2" })
 }
@@ -220,7 +223,7 @@
 	f := &fakeStore{err: errors.New("store unavailable")}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { Register(ctx, f, Member{Name: "a1"}, nil, testLog()); close(done) }()
+	go func() { Register(ctx, f, Member{Name: "a1"}, nil, attemptInterval, testLog()); close(done) }()
 	writes := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.written) }
 	eventually(t, 3*time.Second, func() bool { return writes() >= 3 })
 	f.set(func() { f.err = nil })
@@ -306,7 +309,7 @@
 	f.set(func() { f.silent = true })
 	time.Sleep(50 * time.Millisecond)
 	f.set(func() { f.silent, f.version, f.rows["a"] = false, 5, []byte("2") })
-	eventually(t, pollWait+pollMargin+300*time.Millisecond, func() bool { value, _, _ := state(); return value == "2" })
+	eventually(t, attemptInterval+300*time.Millisecond, func() bool { value, _, _ := state(); return value == "2" })
 }
 
 // Guards against more and more calls to a store that answers none, and against a result
--- a/directory/hedge.go
+++ b/directory/hedge.go
@@ -18,6 +18,13 @@
 	limit int
 }
 
+// newHedge returns a hedge that makes a call after each delay, however many earlier ones are
+// unanswered: those that have not timed out by then are fewer than its limit. The call that
+// times out at the same moment as another is made counts as unanswered.
+func newHedge(delay, timeout time.Duration) hedge {
+	return hedge{delay: delay, timeout: timeout, limit: int(timeout/delay) + 1}
+}
+
 // run makes a call, and further ones while it is unanswered. It returns the first result
 // without an error, an error once no call is under way, or that of ctx. While calls only
 // time out it goes on. Before each call beside unanswered ones it calls unanswered.
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -215,7 +215,7 @@
 	wg.Go(func() { d.pollPeers(helperCtx) })
 	wg.Go(func() { d.eventLoop(helperCtx) })
 	wg.Go(func() {
-		directory.Register(helperCtx, d.opts.Store, directory.Member{Name: d.opts.Name, Role: directory.RoleEntry, Directory: d.opts.DirectoryAddress}, d.opts.Seeds, d.opts.Log)
+		directory.Register(helperCtx, d.opts.Store, directory.Member{Name: d.opts.Name, Role: directory.RoleEntry, Directory: d.opts.DirectoryAddress}, d.opts.Seeds, d.opts.Timings.StoreAttemptInterval, d.opts.Log)
 	})
 	<-ctx.Done()
 	d.drain()
--- a/dispatchd/knowledge.go
+++ b/dispatchd/knowledge.go
@@ -53,7 +53,7 @@
 }
 
 func (d *Dispatcher) watchMembers(ctx context.Context) {
-	directory.Watch(ctx, d.opts.Store, directory.MembersTable, d.opts.Log, d.applyMembers, func(failing bool) {
+	directory.Watch(ctx, d.opts.Store, directory.MembersTable, d.opts.Timings.StoreAttemptInterval, d.opts.Log, d.applyMembers, func(failing bool) {
 		d.cache.mu.Lock()
 		d.cache.membersReadFailing = failing
 		d.cache.mu.Unlock()
@@ -149,7 +149,7 @@
 }
 
 func (d *Dispatcher) watchConfig(ctx context.Context) {
-	directory.Watch(ctx, d.opts.Store, d.opts.ConfigTable, d.opts.Log, d.applyConfigTable, func(failing bool) {
+	directory.Watch(ctx, d.opts.Store, d.opts.ConfigTable, d.opts.Timings.StoreAttemptInterval, d.opts.Log, d.applyConfigTable, func(failing bool) {
 		d.cache.mu.Lock()
 		d.cache.configReadFailing = failing
 		d.cache.mu.Unlock()
--- a/dispatchd/knowledge_test.go
+++ b/dispatchd/knowledge_test.go
@@ -196,7 +196,7 @@
 	member := directory.Member{Name: "a1", Role: directory.RoleAgent, Address: "10.1.0.1:7720"}
 	go func() {
 		defer close(done)
-		directory.Register(ctx, silentStore{}, member, []string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")}, d.opts.Log)
+		directory.Register(ctx, silentStore{}, member, []string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")}, time.Second, d.opts.Log)
 	}()
 	defer func() { cancel(); <-done }()
 	for end := time.Now().Add(350 * time.Millisecond); ; time.Sleep(5 * time.Millisecond) {
@@ -213,6 +213,8 @@
 // silentStore answers no call.
 type silentStore struct{ directory.Store }
 
+func (silentStore) CloseIdleConnections() {}
+
 func (silentStore) Put(ctx context.Context, _, _ string, _ []byte) error {
 	<-ctx.Done()
 	return ctx.Err()
--- a/host/agent.go
+++ b/host/agent.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	member := directory.Member{Name: s.Name, Role: directory.RoleAgent, Address: a.Addr()}
 	p.group.Add(func() error {
-		directory.Register(ctx, store, member, s.Seeds, p.log)
+		directory.Register(ctx, store, member, s.Seeds, p.timings.StoreAttemptInterval, p.log)
 		return nil
 	}, func(error) { cancel() })
 	p.group.Add(func() error {
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -7,6 +7,7 @@
 package timing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,9 @@
 	// ResendAfter is how long after its connection breaks a caller submits its job
 	// again.
 	ResendAfter time.Duration
+	// Contact is how long after the store answers again a process may take to have its
+	// changes; 0 means DefaultContact.
+	Contact time.Duration
 }
 
 // Timings are the intervals and timeouts that entries and agents use.
@@ -43,9 +47,22 @@
 	// MaxSuspension is how long an entry may be suspended before it must assume
 	// that its callers have submitted their jobs elsewhere.
 	MaxSuspension time.Duration
+	// StoreAttemptInterval is the longest time between two attempts to read the changes of
+	// the store, however many earlier ones are unanswered.
+	StoreAttemptInterval time.Duration
 }
 
+// DefaultContact is the value of Bounds.Contact where the settings name none.
+const DefaultContact = 3 * time.Second
+
 const (
+	// contactReserve is the part of Bounds.Contact that is left for the connection, the reply
+	// and its use, on a host with a tenth of a core; half of the bound where that is less.
+	contactReserve = time.Second
+	// maxStoreAttemptInterval is below the 2 s in which a configuration must take effect
+	// although a connection goes silent. minStoreAttemptInterval bounds the load on the store.
+	maxStoreAttemptInterval = 1700 * time.Millisecond
+	minStoreAttemptInterval = 200 * time.Millisecond
 	// clockDrift is the largest share by which a worker's clock may run slow.
 	clockDrift = 0.02
 	// maxSchedulingDelay is the time allowed for a timer that fires late and for
@@ -90,6 +107,8 @@
 	t.PingInterval = t.SilenceTimeout / 4
 	t.ReconnectGrace = min(maxReconnectGrace, t.SilenceTimeout/2)
 	t.RestartDelay = max(time.Duration(float64(t.Lease)*(1+clockDrift)), t.SilenceTimeout) + b.MaxStopTime + 2*maxSchedulingDelay
+	contact := cmp.Or(b.Contact, DefaultContact)
+	t.StoreAttemptInterval = max(min(max(contact-contactReserve, contact/2), maxStoreAttemptInterval), minStoreAttemptInterval)
 	t.MaxSuspension = max(t.SilenceTimeout, budget-4*maxSchedulingDelay)
 	return t, nil
 }
