--- a/host/agent.go
+++ b/host/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"time"
 
 	"github.com/sesamelift/sesamelift/decisions"
@@ -13,9 +14,9 @@
 )
 
 // RunAgent runs an agent with the given arguments, without the program name, until it is
-// terminated, and returns the exit code.
-func RunAgent(args []string, stdout, stderr io.Writer) int {
-	return runCommand("sesamelift-platform-agent", true, args, stdout, stderr, setupAgent)
+// terminated, and returns the exit code. received are the signals of the process.
+func RunAgent(args []string, received <-chan os.Signal, stdout, stderr io.Writer) int {
+	return runCommand("sesamelift-platform-agent", true, args, received, stdout, stderr, setupAgent)
 }
 
 func setupAgent(p *process) error {
@@ -44,7 +45,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	member := directory.Member{Name: s.Name, Role: directory.RoleAgent, Address: a.Addr()}
 	p.group.Add(func() error {
-		directory.Register(ctx, store, member, s.Seeds, p.log)
+		directory.Register(ctx, store, member, s.Seeds, p.timings.StoreAttemptInterval, p.log)
 		return nil
 	}, func(error) { cancel() })
 	p.group.Add(func() error {
