--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -97,7 +97,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := newCluster(t)
-			n := c.start("e1")
+			n := c.startConfigured("e1")
 			c.newAgent("w1", 11, echoResult).connect(n, "")
 			// Within one event, nothing else changes and no time limit passes.
 			got, ok := postAndWait(context.Background(), n.Entry, func(ls *loopState) [2]string {
@@ -119,6 +119,15 @@
 	}
 }
 
+// startConfigured runs an entry until it is ready and has the configuration, which it may get
+// after it is ready.
+func (c *cluster) startConfigured(name string) *node {
+	c.t.Helper()
+	n := c.start(name)
+	eventually(c.t, "the entry has the configuration", func() bool { return n.Status(context.Background()).ConfigVersion == 1 })
+	return n
+}
+
 // connect lets an agent without a network connection count as connected.
 func connect(ls *loopState, worker string, id uint64, zone string, services []string, load wire.Load) {
 	ls.agentConnected(&agentConn{id: id, conn: &transport.Conn{}, hello: &wire.Hello{Name: worker, Incarnation: id, Zone: zone, Services: services, Load: load}})
@@ -145,7 +154,7 @@
 func TestJobWaitsForAWorkerOutsideTheEvacuatedZone(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
-	n := c.start("e1")
+	n := c.startConfigured("e1")
 	a := c.newAgent("w1", 11, echoResult)
 	a.connect(n, "")
 	_, ok := postAndWait(context.Background(), n.Entry, func(ls *loopState) bool {
