--- a/admission/admission.go
+++ b/admission/admission.go
@@ -142,18 +142,24 @@
 // checkWait refuses a job if the queue would become too long, or if its last task
 // is not expected to end within the time left.
 func (s *State) checkWait(r Request, supply Supply) *api.Verdict {
-	slots := s.expectedSlots(supply)
-	waiting := supply.Waiting + r.Tasks - max(slots-(supply.Busy-supply.BusyByOthers), 0)
+	waiting, wait := s.expectedWait(r, supply)
 	if waiting > s.options.MaxQueuedTasks {
 		return refuseOverload(supply.RunTime, fmt.Sprintf("%d tasks would wait, the limit is %d", waiting, s.options.MaxQueuedTasks))
 	}
-	wait := time.Duration(max(waiting, 0)) * supply.RunTime / time.Duration(slots)
 	if late := waitSafetyFactor*wait + supply.RunTime - r.TimeLeft; late > 0 && waiting > 0 {
 		return refuseOverload(late, fmt.Sprintf("the expected wait is %v, the time left is %v", wait.Round(time.Millisecond), r.TimeLeft.Round(time.Millisecond)))
 	}
 	return nil
 }
 
+// expectedWait returns the number of tasks that would wait for a slot with the job, and how
+// long the last one is expected to wait.
+func (s *State) expectedWait(r Request, supply Supply) (waiting int, wait time.Duration) {
+	slots := s.expectedSlots(supply)
+	waiting = supply.Waiting + r.Tasks - max(slots-(supply.Busy-supply.BusyByOthers), 0)
+	return waiting, time.Duration(max(waiting, 0)) * supply.RunTime / time.Duration(slots)
+}
+
 // expectedSlots returns the number of slots that this entry can expect to get:
 // those that other entries do not use, but at least an equal share of all slots.
 func (s *State) expectedSlots(supply Supply) int {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -110,7 +110,9 @@
 
 // State holds what one entry knows of all agents.
 type State struct {
-	options      Options
+	options Options
+	// source is that of rand, which a Clone copies to draw the same numbers.
+	source       *rand.PCG
 	rand         *rand.Rand
 	agents       map[uint64]*agent
 	agentList    []*agent
@@ -121,6 +123,9 @@
 	// now is the time of the last event or decision, for methods without a time
 	// argument.
 	now time.Time
+	// onPick is called with each choice of Pick before the slot is reserved; nil if nothing
+	// explains the choices.
+	onPick func(r *ranking, chosen *agent)
 }
 
 // service holds the rankings of the agents of one service by class, and the sums
@@ -153,8 +158,9 @@
 // New returns a State without agents.
 func New(o Options) *State {
 	o.setDefaults()
+	source := rand.NewPCG(o.Seed, 0)
 	return &State{
-		options: o, rand: rand.New(rand.NewPCG(o.Seed, 0)), agents: map[uint64]*agent{},
+		options: o, source: source, rand: rand.New(source), agents: map[uint64]*agent{},
 		services: map[string]*service{}, types: newRequestTypes(o.MaxTypes),
 	}
 }
@@ -249,6 +255,9 @@
 	if g == nil {
 		return 0, false
 	}
+	if s.onPick != nil {
+		s.onPick(&v.rankings[c], g)
+	}
 	g.recordStart(c, now)
 	s.updateRank(g)
 	return g.id, true
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -106,3 +106,8 @@
 	}
 	r.put(i, it)
 }
+
+// rankTerms returns the terms of a key that isn't 0.
+func rankTerms(k uint64) (free int, slowdownStep int, sameZone bool) {
+	return int(k >> freeShift), int(255 - uint8(k>>slowdownShift)), k&zoneBit != 0
+}
