entry, ingress, cli: Explain where a job would go on the own interface

`sesamelift explain -token` and POST /v1/explain of sesamelift-entry, for operators only and once a second, say whether a job would be placed, wait or be refused and why, with the candidates of each task, the queue ahead, the inputs of the admission and the age of what the entry knows. The event loop copies the state and admits the job to the copy; the goroutine of the request places its tasks there. The output code of the command line is shared by both interfaces through the interface `explanation`. SubmissionFaults lists every fault of a file: it checks each member in a submission that is right otherwise, so that it needs no rules of its own.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -16,7 +16,9 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/sesamelift/sesamelift/client"
 	"github.com/sesamelift/sesamelift/dispatch"
+	"github.com/sesamelift/sesamelift/ingress"
 	"github.com/sesamelift/sesamelift/platform"
 )
 
@@ -24,7 +26,9 @@
 const explainTimeout = 5 * time.Second
 
 type explainFlags struct {
-	entries  string
+	entries string
+	// token is set for entries of the product's own interface.
+	token    string
 	query    platform.ExplainQuery
 	asJSON   bool
 	all      bool
@@ -34,15 +38,18 @@
 func explainCommand(std *streams) *ffcli.Command {
 	var f explainFlags
 	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
-	fs.StringVar(&f.entries, "entries", "", "metrics addresses of entries on the platform, separated by commas")
-	fs.StringVar(&f.query.Host, "host", "", "host to which callers send the job")
-	fs.StringVar(&f.query.Path, "path", "", "path to which callers send the job, with or without its id")
-	fs.DurationVar(&f.deadline, "deadline", 0, "how long the caller waits; the default is the timeout of the queue")
+	fs.StringVar(&f.entries, "entries", "", "addresses of entries, separated by commas; of entries on the platform those of the metrics")
+	fs.StringVar(&f.token, "token", "", "token of the operator, to ask entries of the product's own interface")
+	fs.StringVar(&f.query.Host, "host", "", "host to which callers send the job, on the platform")
+	fs.StringVar(&f.query.Path, "path", "", "path to which callers send the job, on the platform, with or without its id")
+	fs.DurationVar(&f.deadline, "deadline", 0, "how long the caller waits; the default is the timeout of the queue or the deadline in the file")
 	fs.BoolVar(&f.asJSON, "json", false, "print JSON")
 	fs.BoolVar(&f.all, "all", false, "ask all entries and print where they differ")
-	return newCommand("explain", "explain -entries ADDR[,ADDR...] -host HOST -path PATH [flags] FILE", "show where a job would go now, and why",
-		"FILE holds the job as callers of sesamelift-platform-entry send it; - is standard input.\n"+
-			"Nothing is submitted. An entry gives one explanation a second.\n\nExample:\n  sesamelift explain -entries 10.0.0.5:9105 -host jobs.example -path /render/ job.json",
+	return newCommand("explain", "explain -entries ADDR[,ADDR...] {-token TOKEN | -host HOST -path PATH} [flags] FILE", "show where a job would go now, and why",
+		"FILE holds the job as callers of sesamelift-platform-entry, or with -token those of\n"+
+			"sesamelift-entry, send it; - is standard input.\n"+
+			"Nothing is submitted. An entry gives one explanation a second.\n\nExamples:\n  sesamelift explain -entries 10.0.0.5:9105 -host jobs.example -path /render/ job.json\n"+
+			"  sesamelift explain -entries 10.0.0.5:7400 -token $OPERATOR_TOKEN job.json",
 		fs, func(ctx context.Context, args []string) error {
 			if len(args) != 1 {
 				return usageError{errors.New("explain takes one file")}
@@ -51,25 +58,47 @@
 		})
 }
 
+// explanation is that of an entry on the platform or of the product's own interface.
+type explanation interface {
+	entryName() string
+	// compared returns the values in which entries can differ.
+	compared() []comparedValue
+	// row returns the columns of the comparison, without those of the entry.
+	row() comparisonRow
+	print(std *streams) error
+}
+
+type comparisonRow struct {
+	zone, decision, message string
+	endMS, waitMS           int64
+	inTime                  bool
+	ahead, workers          int
+	freeShare               float64
+	configVersion           uint64
+}
+
 // entryExplanation is what one entry answered.
 type entryExplanation struct {
-	Address     string              `json:"address"`
-	Error       string              `json:"error,omitempty"`
-	Explanation *platform.Explained `json:"explanation,omitempty"`
+	Address     string      `json:"address"`
+	Error       string      `json:"error,omitempty"`
+	Explanation explanation `json:"explanation,omitempty"`
 	rejected    bool
 }
 
 func (f *explainFlags) run(ctx context.Context, std *streams, file string) error {
-	for _, required := range []struct{ name, value string }{{"entries", f.entries}, {"host", f.query.Host}, {"path", f.query.Path}} {
+	for _, required := range []struct{ name, value string }{{"entries", f.entries}, {"host", f.query.Host + f.token}, {"path", f.query.Path + f.token}} {
 		if required.value == "" {
 			return usageError{errors.Errorf("-%s is required", required.name)}
 		}
 	}
+	if f.token != "" && f.query.Host+f.query.Path != "" {
+		return usageError{errors.New("-token is for the product's own interface, -host and -path are for the platform")}
+	}
 	var err error
 	if f.query.Job, err = std.readInput(file); err != nil {
 		return usageError{err}
 	}
-	if faults := platform.JobFaults(f.query.Job); len(faults) > 0 {
+	if faults := f.findFaults(); len(faults) > 0 {
 		for _, fault := range faults {
 			fmt.Fprintf(std.errOut, "%s:%d: %s\n", file, fault.Line, fault.Message)
 		}
@@ -103,7 +132,30 @@
 	case f.all:
 		return std.printComparison(reached, differences)
 	}
-	return std.printExplanation(reached[0].Explanation)
+	return reached[0].Explanation.print(std)
+}
+
+func (f *explainFlags) findFaults() []ingress.Fault {
+	if f.token != "" {
+		return ingress.SubmissionFaults(f.query.Job)
+	}
+	var faults []ingress.Fault
+	for _, fault := range platform.JobFaults(f.query.Job) {
+		faults = append(faults, ingress.Fault(fault))
+	}
+	return faults
+}
+
+// askEntry asks one entry.
+func (f *explainFlags) askEntry(ctx context.Context, address string) (explanation, error) {
+	if f.token != "" {
+		return askOwnEntry(ctx, address, f.token, f.query)
+	}
+	explained, err := platform.AskForExplanation(ctx, http.DefaultClient, address, f.query)
+	if err != nil {
+		return nil, err
+	}
+	return platformExplanation{explained}, nil
 }
 
 // ask asks all entries at once, or one after the other until one has answered.
@@ -114,12 +166,14 @@
 		ctx, cancel := context.WithTimeout(ctx, explainTimeout)
 		defer cancel()
 		a := entryExplanation{Address: addresses[i]}
-		explained, err := platform.AskForExplanation(ctx, http.DefaultClient, a.Address, f.query)
+		explained, err := f.askEntry(ctx, a.Address)
 		if err != nil {
 			var rejected *platform.ExplainRejectedError
-			a.Error, a.rejected = err.Error(), errors.As(err, &rejected)
+			var rejectedByOwn *client.RejectedError
+			a.Error, a.rejected = err.Error(), errors.As(err, &rejected) || errors.As(err, &rejectedByOwn)
+		} else {
+			a.Explanation = explained
 		}
-		a.Explanation = explained
 		answers[i] = a
 	}
 	if !f.all {
@@ -152,14 +206,14 @@
 	var differences []difference
 	index := map[string]int{}
 	for _, a := range answers {
-		for _, v := range comparedValues(a.Explanation) {
+		for _, v := range a.Explanation.compared() {
 			i, ok := index[v.what]
 			if !ok {
 				i = len(differences)
 				index[v.what] = i
 				differences = append(differences, difference{v.what, map[string]string{}})
 			}
-			differences[i].Values[a.Explanation.Entry] = v.value
+			differences[i].Values[a.Explanation.entryName()] = v.value
 		}
 	}
 	return slices.DeleteFunc(differences, func(d difference) bool {
@@ -172,7 +226,19 @@
 
 type comparedValue struct{ what, value string }
 
-func comparedValues(e *platform.Explained) []comparedValue {
+// platformExplanation is that of an entry on the platform.
+type platformExplanation struct{ *platform.Explained }
+
+func (e platformExplanation) entryName() string { return e.Entry }
+
+func (e platformExplanation) row() comparisonRow {
+	return comparisonRow{
+		zone: e.Zone, decision: string(e.Decision), message: e.Message, endMS: e.ExpectedEndMS, inTime: e.OnTime, ahead: e.Ahead.Jobs,
+		waitMS: e.Ahead.ExpectedWaitMS, freeShare: e.Capacity.FreeShare, workers: e.Capacity.UsableWorkers, configVersion: e.ConfigVersion,
+	}
+}
+
+func (e platformExplanation) compared() []comparedValue {
 	values := []comparedValue{
 		{"decision", string(e.Decision)}, {"message", e.Message}, {"queue", e.Queue}, {"ready", fmt.Sprint(e.Ready)},
 		{"configuration version", fmt.Sprint(e.ConfigVersion)}, {"evacuated zones", strings.Join(e.Evacuation.Zones, " ")},
@@ -202,9 +268,9 @@
 	t := tabwriter.NewWriter(std.out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(t, "ENTRY\tZONE\tDECISION\tEND\tON TIME\tAHEAD\tWAIT\tFREE\tWORKERS\tCONFIG\tREASON")
 	for _, a := range answers {
-		e := a.Explanation
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d ms\t%v\t%d\t%d ms\t%.0f%%\t%d\t%d\t%s\n", e.Entry, e.Zone, e.Decision, e.ExpectedEndMS, e.OnTime, e.Ahead.Jobs,
-			e.Ahead.ExpectedWaitMS, 100*e.Capacity.FreeShare, e.Capacity.UsableWorkers, e.ConfigVersion, e.Message)
+		r := a.Explanation.row()
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d ms\t%v\t%d\t%d ms\t%.0f%%\t%d\t%d\t%s\n", a.Explanation.entryName(), r.zone, r.decision, r.endMS, r.inTime, r.ahead,
+			r.waitMS, 100*r.freeShare, r.workers, r.configVersion, r.message)
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -224,16 +290,10 @@
 	return nil
 }
 
-func (std *streams) printExplanation(e *platform.Explained) error {
+func (e platformExplanation) print(std *streams) error {
 	fmt.Fprintf(std.out, "entry %s in %s, ready: %v, configuration version %d\n", e.Entry, e.Zone, e.Ready, e.ConfigVersion)
-	fmt.Fprintf(std.out, "queue %s, service %s: %s", e.Queue, e.Service, e.Decision)
-	if e.Message != "" {
-		fmt.Fprintf(std.out, ": %s", e.Message)
-	}
-	if e.RetryAfterMS > 0 {
-		fmt.Fprintf(std.out, ", retry after %d ms", e.RetryAfterMS)
-	}
-	fmt.Fprintln(std.out)
+	fmt.Fprintf(std.out, "queue %s, service %s: ", e.Queue, e.Service)
+	std.printDecision(string(e.Decision), e.Message, e.RetryAfterMS)
 	if e.Class == "" {
 		return nil
 	}
@@ -252,14 +312,34 @@
 		if err := std.printCandidates(t.Candidates); err != nil {
 			return err
 		}
-		for _, reason := range slices.Sorted(maps.Keys(t.Excluded)) {
-			fmt.Fprintf(std.out, "  %d more: %s\n", t.Excluded[reason], reason)
-		}
+		std.printMoreWorkers(t.Excluded)
+	}
+	std.printMoreTasks(e.TotalTasks, len(e.Tasks))
+	return nil
+}
+
+func (std *streams) printMoreWorkers(excluded map[string]int) {
+	for _, reason := range slices.Sorted(maps.Keys(excluded)) {
+		fmt.Fprintf(std.out, "  %d more: %s\n", excluded[reason], reason)
 	}
-	if more := e.TotalTasks - len(e.Tasks); more > 0 && len(e.Tasks) > 0 {
+}
+
+func (std *streams) printMoreTasks(total, listed int) {
+	if more := total - listed; more > 0 && listed > 0 {
 		fmt.Fprintf(std.out, "\n%d more tasks\n", more)
 	}
-	return nil
+}
+
+// printDecision prints what happens to a job, and the refusal.
+func (std *streams) printDecision(decision, message string, retryAfterMS int64) {
+	fmt.Fprint(std.out, decision)
+	if message != "" {
+		fmt.Fprintf(std.out, ": %s", message)
+	}
+	if retryAfterMS > 0 {
+		fmt.Fprintf(std.out, ", retry after %d ms", retryAfterMS)
+	}
+	fmt.Fprintln(std.out)
 }
 
 func (std *streams) printCandidates(candidates []dispatch.Candidate) error {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -9,7 +9,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sesamelift/sesamelift/admission"
+	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/dispatch"
+	"github.com/sesamelift/sesamelift/ingress"
+	"github.com/sesamelift/sesamelift/placement"
 	"github.com/sesamelift/sesamelift/platform"
 )
 
@@ -77,3 +81,72 @@
 		})
 	}
 }
+
+// Guards against output of the product's own interface that lacks a term of the decision or a
+// fault, against an explanation without permission, and against a wrong exit code.
+func TestExplainOwnInterface(t *testing.T) {
+	entry := func(name, worker string) string {
+		explained := &ingress.Explanation{
+			Entry: name, Zone: "z1", Ready: true, ConfigVersion: 7, PlatformAgeMS: 400, Decision: ingress.Waits, Service: "s", Type: "t", Team: "kiln",
+			Class: "short", DeadlineMS: 2000, ExpectedEndMS: 90, Ahead: ingress.QueueAhead{Waiting: 12, FirstTask: 3, LastTask: 8},
+			Supply: ingress.SupplyView{Slots: 16, Busy: 8, BusyByOthers: 2}, Admission: admission.View{Quota: 100, Share: 50, InProgress: 20, ExpectedWaitMS: 30},
+			Tasks: []ingress.TaskView{
+				{Worker: worker, Rule: "highest rank", Excluded: map[string]int{"lower rank": 4}, Candidates: []placement.Candidate{
+					{Worker: worker, Chosen: true, RankedFree: 2, SlowdownStep: 128, Slowdown: 1, Slots: 8},
+					{Worker: "w9", Excluded: "ejected: 5 consecutive failures", EjectedMS: 700},
+				}},
+				{Index: 1, Rule: "no worker that may run it has a free slot"},
+			},
+			TotalTasks: 40,
+		}
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var sub api.Submission
+			qt.Check(t, json.NewDecoder(r.Body).Decode(&sub), qt.IsNil)
+			qt.Check(t, []any{r.Method + " " + r.URL.String(), sub.DeadlineMS}, qt.DeepEquals, []any{"POST /v1/explain", int64(2000)})
+			switch r.Header.Get("Authorization") {
+			case "Bearer operator":
+				_ = json.NewEncoder(w).Encode(explained)
+			case "Bearer of another release":
+				w.WriteHeader(http.StatusBadRequest)
+				_ = json.NewEncoder(w).Encode(api.Answer{Message: "the job has no colour"})
+			default:
+				w.WriteHeader(http.StatusUnauthorized)
+				_ = json.NewEncoder(w).Encode(api.Answer{Message: "the header Authorization needs the operator's bearer token"})
+			}
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	job := writeFile(t, `{"service":"s","type":"t","team":"kiln","tasks":[1,2]}`)
+	faulty := writeFile(t, "{\"service\":\"s\",\"type\":\"t\",\n\"team\":7,\n\"tasks\":[]}")
+	a, b := entry("e1", "w1"), entry("e2", "w2")
+	const unreachable = "127.0.0.1:1"
+	for _, tc := range []struct {
+		name, entries, token string
+		args                 []string
+		code                 int
+		out                  []string
+	}{
+		{"table", a, "operator", []string{job}, ExitOK, []string{"entry e1 in z1", "waits", "read 400 ms ago", "3 go before the first and 8 before the last", "16 slots, 8 in use",
+			"this entry's part is 50 of 100", "task 0: w1 (highest rank)", "ejected: 5 consecutive failures (700 ms)", "4 more: lower rank", "task 1: none", "38 more tasks"}},
+		{"JSON", a, "operator", []string{"-json", job}, ExitOK, []string{`"decision": "waits"`, `"slowdown_step": 128`}},
+		{"differences", a + "," + b + "," + unreachable, "operator", []string{"-all", job}, ExitOK, []string{`task 0: e1="w1" e2="w2"`, "entry " + unreachable}},
+		{"second entry", unreachable + "," + b, "operator", []string{job}, ExitOK, []string{"entry e2 in z1"}},
+		{"faults", a, "operator", []string{faulty}, ExitUsage, []string{faulty + ":2: ", faulty + ":3: the job has no tasks"}},
+		{"refused by another release", a, "of another release", []string{job}, ExitUsage, []string{"no colour"}},
+		{"no entry", unreachable, "operator", []string{job}, ExitFailed, []string{"no entry could be reached"}},
+		{"not permitted", a, "team", []string{job}, ExitFailed, []string{"operator's bearer token"}},
+		{"both interfaces", a, "operator", []string{"-host", "jobs.example", job}, ExitUsage, []string{"-token is for"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			code, out, errOut := runCommand(t, append([]string{"explain", "-entries", tc.entries, "-token", tc.token, "-deadline", "2s"}, tc.args...)...)
+			qt.Assert(t, code, qt.Equals, tc.code, qt.Commentf("%s%s", out, errOut))
+			for _, text := range tc.out {
+				qt.Check(t, out+errOut, qt.Contains, text)
+			}
+			if tc.code != ExitOK {
+				qt.Check(t, out, qt.Equals, "")
+			}
+		})
+	}
+}
--- a/client/client.go
+++ b/client/client.go
@@ -95,6 +95,44 @@
 	return nil, errors.Wrap(lastErr, "no entry could be reached")
 }
 
+// RejectedError is returned if an entry has answered that a request is wrong.
+type RejectedError struct{ Message string }
+
+// Error implements error.
+func (e *RejectedError) Error() string { return e.Message }
+
+// Explain asks the first entry that can be reached what would happen to a submission, and
+// returns the body of its answer. The error is a RejectedError if the entry finds the
+// submission wrong.
+func (c *Client) Explain(ctx context.Context, s *api.Submission) ([]byte, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode job")
+	}
+	lastErr := ErrNoEntries
+	for _, entry := range c.entries {
+		resp, err := c.send(ctx, http.MethodPost, entry, "/v1/explain", nil, body)
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		_ = resp.Body.Close()
+		if err != nil || resp.StatusCode == http.StatusOK {
+			return b, errors.Wrap(err, "read the explanation")
+		}
+		var a api.Answer
+		if json.Unmarshal(b, &a) != nil || a.Message == "" {
+			return nil, errors.Errorf("answered status %d", resp.StatusCode)
+		}
+		if resp.StatusCode == http.StatusBadRequest {
+			return nil, &RejectedError{a.Message}
+		}
+		return nil, errors.Errorf("answered status %d: %s", resp.StatusCode, a.Message)
+	}
+	return nil, errors.Wrap(lastErr, "no entry could be reached")
+}
+
 func (c *Client) tryEntries(f func(string) (*api.Answer, error)) (*api.Answer, error) {
 	lastErr := ErrNoEntries
 	for _, entry := range c.entries {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -81,14 +81,17 @@
 	if j == nil || a == nil {
 		return
 	}
-	ls.queue.Add(queue.Job{
-		Key: key, Service: j.Submission.Service, Type: j.Submission.Type, Team: j.Submission.Team,
-		Weight: ls.admission.Weight(j.Submission.Team), Class: a.class, Arrived: j.Arrived, Deadline: j.Deadline,
-		Tasks: len(j.Submission.Tasks) - j.Finished(),
-	}, task)
+	ls.queue.Add(ls.queueJob(key, j.Submission, a.class, j.Arrived, j.Deadline, len(j.Submission.Tasks)-j.Finished()), task)
 	ls.queuedTasks[[2]string{j.Submission.Service, j.Submission.Team}]++
 }
 
+func (ls *loopState) queueJob(key api.Key, s *api.Submission, class wire.Class, arrived, deadline time.Time, unfinished int) queue.Job {
+	return queue.Job{
+		Key: key, Service: s.Service, Type: s.Type, Team: s.Team, Weight: ls.admission.Weight(s.Team),
+		Class: class, Arrived: arrived, Deadline: deadline, Tasks: unfinished,
+	}
+}
+
 // applyWithRetryBudget carries out actions like apply, but delays tasks to be
 // queued again when the retry budget is used up.
 func (ls *loopState) applyWithRetryBudget(actions []jobs.Action) {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -44,6 +44,10 @@
 }
 func (f *fakeService) Workers(context.Context) []Worker { return []Worker{{Worker: "w1", Slots: 8}} }
 
+func (f *fakeService) Explain(_ context.Context, s *api.Submission) *Explanation {
+	return &Explanation{Entry: "e1", Decision: Placed, TotalTasks: len(s.Tasks)}
+}
+
 func (f *fakeService) reply(k api.Key) *api.Answer {
 	a := *f.answer
 	a.Key = k
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -22,6 +22,7 @@
 	operatorTokenHash [sha256.Size]byte
 	teamTokenHashes   map[string][sha256.Size]byte
 	rateLimiters      map[string]*rate.Limiter
+	explainLimiter    *rate.Limiter
 }
 
 // New returns a server. metrics handles /metrics and may be nil.
@@ -29,6 +30,7 @@
 	s := &Server{
 		options: o, echo: echo.New(), operatorTokenHash: sha256.Sum256([]byte(o.OperatorToken)),
 		teamTokenHashes: map[string][sha256.Size]byte{}, rateLimiters: map[string]*rate.Limiter{},
+		explainLimiter: rate.NewLimiter(explainsPerSecond, explainBurst),
 	}
 	for team, token := range o.TeamTokens {
 		s.teamTokenHashes[team] = sha256.Sum256([]byte(token))
@@ -42,6 +44,7 @@
 	e.DELETE("/v1/jobs/:key", s.cancel, s.teamOnly)
 	e.GET("/v1/workers", s.workers, s.operatorOnly)
 	e.GET("/v1/status", s.statusJSON, s.operatorOnly)
+	e.POST(ExplainPath, s.explain, s.operatorOnly)
 	e.GET("/status", s.statusText)
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", s.ready)
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -25,6 +25,9 @@
 	Status(ctx context.Context) *Status
 	// Workers lists the connected workers.
 	Workers(ctx context.Context) []Worker
+	// Explain says what would happen to a job that arrived now. It changes nothing, and
+	// returns nil if the entry stops.
+	Explain(ctx context.Context, s *api.Submission) *Explanation
 }
 
 // Status describes an entry to the operator.
