runner: Assume the speed that entries know after a restart

An agent lost the learnt speed of its worker with its process, and reported 1 until it had measured some runs, for workers that run at 0.55 to 1.25.

Commands.KnownSpeed names the speed that a former process of the agent has measured. The protocol number is 7.

A seed of FuzzReadFrame declared a message of five fields and was refused for this, not for the damaged length that it is about. It has ten fields now, and the test checks the reason of the refusal: with the seed as it was, that check fails.

--- a/link/fuzz_test.go
+++ b/link/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Guards against a frame that ends the process: a damaged length must not allocate
@@ -13,8 +14,8 @@
 func FuzzReadFrame(f *testing.F) {
 	for _, m := range []Message{
 		&Hello{Protocol: Protocol, Entry: "e1", Incarnation: 1}, &Welcome{Protocol: Protocol, Agent: "a1"},
-		&Commands{Sequence: 1, Starts: []Start{{Task: TaskID{Job: "j"}, Attempt: 1, Spec: "s"}}, Stops: []Stop{{}}, Claims: []Claim{{}}},
-		&Report{Answers: []StartAnswer{{}}, Ends: []End{{}}, Progress: []Progress{{}}, Worker: &WorkerState{ID: "w", Labels: []string{"l"}}, Pairs: []Pair{{Kind: "a"}}, Running: []KindCount{{Kind: "a"}}},
+		&Commands{Sequence: 1, Starts: []Start{{Task: TaskID{Job: "j"}, Attempt: 1, Spec: "s"}}, Stops: []Stop{{}}, Claims: []Claim{{}}, KnownSpeed: &KnownSpeed{WorkerID: "w", Born: 7, Speed: 0.55, AgeMS: 900}},
+		&Report{Answers: []StartAnswer{{}}, Ends: []End{{}}, Progress: []Progress{{}}, Worker: &WorkerState{ID: "w", Labels: []string{"l"}}, Pairs: []Pair{{Kind: "a"}}, Running: []KindCount{{Kind: "a"}}, LongTermSpeed: 0.55},
 	} {
 		frame, err := AppendFrame(nil, m)
 		qt.Assert(f, err, qt.IsNil)
@@ -24,7 +25,9 @@
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(packed)
 	// Commands whose claims have a length of 2^32-1.
-	f.Add([]byte{0, 0, 0, 7, 0x95, 1, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	damaged := []byte{0, 0, 0, 8, 0x9a, 1, 1, 0xdd, 0xff, 0xff, 0xff, 0xff}
+	qt.Assert(f, ReadFrame(bufio.NewReader(bytes.NewReader(damaged)), &Commands{}), qt.ErrorIs, msgp.ErrLimitExceeded)
+	f.Add(damaged)
 	f.Fuzz(func(t *testing.T, frame []byte) {
 		for _, m := range []Message{&Hello{}, &Welcome{}, &Commands{}, &Report{}} {
 			if ReadFrame(bufio.NewReader(bytes.NewReader(frame)), m) != nil {
--- a/link/messages.go
+++ b/link/messages.go
@@ -5,11 +5,11 @@
 // The limit keeps a damaged length from allocating more than a frame can hold.
 //msgp:limit arrays:16384
 
-//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation Commands Spec StartAnswer End Progress WorkerState Pair KindCount Report
+//msgp:tuple Hello Welcome TaskID Resources Start Stop Claim Evacuation KnownSpeed Commands Spec StartAnswer End Progress WorkerState Pair KindCount Report
 
 // Protocol is the version of the message set. A process rejects connections from
 // a peer with a different version.
-const Protocol uint16 = 6
+const Protocol uint16 = 7
 
 // Hello is the first message of a connection. The entry sends it.
 type Hello struct {
@@ -110,6 +110,17 @@
 	WorkerRevision uint64
 }
 
+// KnownSpeed is the long-term speed of a worker that an earlier process of its agent has
+// reported to an entry.
+type KnownSpeed struct {
+	// WorkerID and Born identify the worker instance.
+	WorkerID string
+	Born     int64
+	Speed    float32
+	// AgeMS is the time since the report, in milliseconds, at the time of Commands.AsOfMS.
+	AgeMS int64
+}
+
 // Commands is the message that an entry sends to an agent. Without claims, stops and
 // starts it is a ping, which asks for a Report unless the agent has just sent one.
 type Commands struct {
@@ -131,6 +142,9 @@
 	// then reports only changes of the worker and of whether it accepts tasks.
 	Inactive   bool
 	Evacuation Evacuation
+	// KnownSpeed is set in the first message to an agent that has restarted, if the entry
+	// knows the speed of its worker from the time before.
+	KnownSpeed *KnownSpeed
 }
 
 // Values of StartAnswer.Result.
@@ -263,4 +277,7 @@
 	// Running lists the kinds of which tasks run on the worker, as far as they seem to slow
 	// down others or to be slowed down.
 	Running []KindCount
+	// LongTermSpeed is the average of Speed over several seconds. It is 0 while the agent has
+	// measured no run of the worker since it started, so that Speed is only assumed.
+	LongTermSpeed float32
 }
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -128,8 +128,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.AsOfMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
@@ -170,6 +170,15 @@
 	o = msgp.AppendUint64(o, z.Evacuation.Version)
 	o = msgp.AppendBool(o, z.Evacuation.Evacuated)
 	o = msgp.AppendUint64(o, z.Evacuation.WorkerRevision)
+	if z.KnownSpeed == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.KnownSpeed.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "KnownSpeed")
+			return
+		}
+	}
 	return
 }
 
@@ -181,8 +190,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -349,6 +358,22 @@
 		err = msgp.WrapError(err, "Evacuation", "WorkerRevision")
 		return
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.KnownSpeed = nil
+	} else {
+		if z.KnownSpeed == nil {
+			z.KnownSpeed = new(KnownSpeed)
+		}
+		bts, err = z.KnownSpeed.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "KnownSpeed")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -372,6 +397,11 @@
 		s += 1 + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Specs[za0004].Data)
 	}
 	s += msgp.BoolSize + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size
+	if z.KnownSpeed == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.KnownSpeed.Msgsize()
+	}
 	return
 }
 
@@ -591,6 +621,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *KnownSpeed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.WorkerID)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendFloat32(o, z.Speed)
+	o = msgp.AppendInt64(o, z.AgeMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KnownSpeed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.WorkerID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WorkerID")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.Speed, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Speed")
+		return
+	}
+	z.AgeMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMS")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KnownSpeed) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.WorkerID) + msgp.Int64Size + msgp.Float32Size + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Pair) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -744,8 +828,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 13
-	o = append(o, 0x9d)
+	// array header, size 14
+	o = append(o, 0x9e)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.ClockMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Answers)))
@@ -805,6 +889,7 @@
 		o = msgp.AppendString(o, z.Running[za0005].Kind)
 		o = msgp.AppendUint16(o, z.Running[za0005].Count)
 	}
+	o = msgp.AppendFloat32(o, z.LongTermSpeed)
 	return
 }
 
@@ -816,8 +901,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1016,6 +1101,11 @@
 			return
 		}
 	}
+	z.LongTermSpeed, bts, err = msgp.ReadFloat32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LongTermSpeed")
+		return
+	}
 	o = bts
 	return
 }
@@ -1047,6 +1137,7 @@
 	for za0005 := range z.Running {
 		s += 1 + msgp.StringPrefixSize + len(z.Running[za0005].Kind) + msgp.Uint16Size
 	}
+	s += msgp.Float32Size
 	return
 }
 
--- a/runner/speed.go
+++ b/runner/speed.go
@@ -33,8 +33,12 @@
 	// samples are from recently finished runs.
 	samples   []speedSample
 	updatedAt time.Duration
-	// lastSampleAt is when update last had the speed of any run.
+	// lastSampleAt is when update last had the speed of any run, measured whether it ever had.
 	lastSampleAt time.Duration
+	measured     bool
+	// hasPrior says that setPrior was called, and priorAt when that speed was reported.
+	hasPrior bool
+	priorAt  time.Duration
 }
 
 // speedSample is the speed of one finished run.
@@ -45,6 +49,13 @@
 
 func newSpeedMeter() *speedMeter { return &speedMeter{longTerm: 1, current: 1} }
 
+// setPrior sets the speed that is assumed until runs have been measured, which was reported at
+// a time.
+func (m *speedMeter) setPrior(speed float64, reportedAt time.Duration) {
+	m.longTerm, m.current = speed, speed
+	m.hasPrior, m.priorAt = true, reportedAt
+}
+
 // addFinished records the speed of a finished run.
 func (m *speedMeter) addFinished(now time.Duration, speed float64) {
 	m.samples = append(m.samples, speedSample{speed, now})
@@ -66,7 +77,7 @@
 		}
 		return
 	}
-	m.lastSampleAt = now
+	m.lastSampleAt, m.measured = now, true
 	slices.Sort(speeds)
 	n := float64(len(speeds))
 	median := speeds[len(speeds)/2]
--- a/runner/state.go
+++ b/runner/state.go
@@ -211,6 +211,8 @@
 	nextRenewAt     time.Duration
 
 	speed *speedMeter
+	// knownSpeeds holds the most recent known speed of each worker instance that entries name.
+	knownSpeeds []knownSpeed
 	// learner estimates which kinds of tasks slow each other down, from the runs beside
 	// which neighbors were measured.
 	learner           *interference.Learner
@@ -389,6 +391,7 @@
 	}
 	s.worker = &a
 	s.setZone(a.Zone)
+	s.useKnownSpeed(now)
 	s.noteLeaves(now, &a)
 	if !s.reachable {
 		// The worker may be reachable again; check at once.
@@ -401,16 +404,17 @@
 // still the same instance.
 func (s *State) RestoreWorker(now time.Duration, a Announcement) {
 	s.restored = &a
-	s.useRestored()
+	s.useRestored(now)
 }
 
-func (s *State) useRestored() {
+func (s *State) useRestored(now time.Duration) {
 	r := s.restored
 	if s.worker != nil || r == nil || !s.clockKnown || r.Born == 0 || r.Born != s.workerBorn {
 		return
 	}
 	s.worker, s.restored = r, nil
 	s.setZone(r.Zone)
+	s.useKnownSpeed(now)
 	s.workerRevision++
 	s.log(decisions.Info("stored worker announcement restored", "life", r.ID, "born", r.Born, "milli_cpu", r.Capacity.MilliCPU, "draining", r.Draining))
 }
@@ -509,6 +513,9 @@
 		}
 		conn.reportedRevision = s.workerRevision
 	}
+	if s.worker != nil && s.speed.measured {
+		rep.LongTermSpeed = float32(s.speed.longTerm)
+	}
 	s.reportPairs(now, conn, rep)
 	conn.reportedAt, conn.reportedFree, conn.reportedAccepting, conn.reportedSpeed = now, rep.Free, rep.Accepting, s.speed.speed()
 	conn.pending, conn.reportDue, conn.reportedLeavesAt = nil, false, s.leavesAt
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -261,7 +261,7 @@
 	s.reachable, s.lastAnswerAt, s.renewFailures = true, now, 0
 	s.instanceInDoubt = s.instanceInDoubt && sentAt < s.doubtSince
 	s.updateClock(now, reply.Clock)
-	s.useRestored()
+	s.useRestored(now)
 	if reply.Unreadable != s.unreadableRows {
 		s.unreadableRows = reply.Unreadable
 		s.log(decisions.Warn("rows of the worker's lists can't be read and are left out", "error", reply.Unreadable))
