dispatch: Tell a restarted agent the speed of its worker

Entries know what an agent's former process had measured, and assumed 1 with the first report of the next one. They now pass it on with the first message to another incarnation of the agent, and again with each connection until that one has measured a run. AgentConnected gets the incarnation for this, which dispatchd takes from the welcome; the tests that call it pass a constant.

--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -293,7 +293,7 @@
 			}
 		case *link.Hello:
 			greeted = true
-			e.send(&link.Welcome{ClockMS: a.now.Milliseconds()})
+			e.send(&link.Welcome{Incarnation: a.incarnation, ClockMS: a.now.Milliseconds()})
 			e.paused = true
 			a.post(func(now time.Duration) {
 				a.lastConn++
--- a/bench/interleaving/entry_test.go
+++ b/bench/interleaving/entry_test.go
@@ -106,7 +106,7 @@
 				now := e.checkSuspension()
 				l.conn, l.liveness = en, timing.Liveness{LastSent: now, LastReceived: now}
 				l.clock.Observe(receivedAt, time.Duration(m.ClockMS)*ms)
-				e.scheduler.AgentConnected(now, l.agent.name)
+				e.scheduler.AgentConnected(now, l.agent.name, m.Incarnation)
 			})
 		case *link.Report:
 			receivedAt := e.now
@@ -175,7 +175,7 @@
 			e.w.note(c.Starts[j].Task.Job, e.name, "start of %v attempt %d sent to %s", c.Starts[j].Task, c.Starts[j].Attempt, c.Worker)
 		}
 		e.send(now, e.links[c.Worker], &link.Commands{
-			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: e.scheduler.Evacuation(c.Worker),
+			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: e.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed,
 		})
 	}
 	for _, answer := range out.Answers {
--- a/bench/model/entry.go
+++ b/bench/model/entry.go
@@ -123,7 +123,7 @@
 				e.post(now, microseconds(s.scenario.Costs.EntryMessageUS), func(now time.Duration) {
 					l.conn, l.dialing = c, false
 					l.liveness = timing.Liveness{LastSent: now, LastReceived: now}
-					e.scheduler.AgentConnected(now, a.name)
+					e.scheduler.AgentConnected(now, a.name, uint64(c.agentEpoch))
 				})
 			})
 		})
@@ -206,7 +206,7 @@
 		c := &out.Commands[i]
 		e.sim.starts += int64(len(c.Starts))
 		if l := e.byName[c.Worker]; l != nil && l.conn != nil {
-			e.send(now, l, &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive})
+			e.send(now, l, &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, KnownSpeed: c.KnownSpeed})
 		}
 	}
 	for _, answer := range out.Answers {
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -16,7 +16,7 @@
 	names := make([]string, 890)
 	for i := range names {
 		names[i] = fmt.Sprint("w", i)
-		s.AgentConnected(now, names[i])
+		s.AgentConnected(now, names[i], 1)
 		s.AgentReported(now, names[i], &link.Report{
 			Accepting: true, Speed: 1, Worker: &link.WorkerState{ID: names[i], Service: "service", Capacity: link.Resources{MilliCPU: 32000, MemoryMB: 1 << 20}},
 		})
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -22,7 +22,7 @@
 	h.s.AgentDisconnected(h.now, "w1", "the agent was killed")
 	h.addWorker("w2", 8, 1)
 	h.advance(700 * ms)
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.Assert(h.takeActions()[0].Claims, qt.HasLen, 1)
 	// The agent takes the claim now and renews the lease. Its answer is late.
 	h.advance(240 * ms)
@@ -57,7 +57,7 @@
 	}
 	list()
 	agent.EntryConnected(h.now, 1, link.Hello{Entry: "e1"})
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.takeActions()
 	commands := h.commands[len(h.commands)-1]
 	h.commands = nil
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -48,7 +48,7 @@
 }
 
 func (h *harness) addWorkerInZone(zone, name string, capacity int, speed float64) {
-	h.s.AgentConnected(h.now, name)
+	h.s.AgentConnected(h.now, name, 1)
 	h.report(name, capacity, speed, &link.Report{Worker: &link.WorkerState{
 		ID: "life-" + name, Service: "service", Zone: zone, Capacity: link.Resources{MilliCPU: int64(capacity) * 4000, MemoryMB: 1 << 20},
 	}})
@@ -172,7 +172,7 @@
 	h.Assert(second, qt.HasLen, 1)
 	h.Assert(second[0].Attempt, qt.Equals, first.Attempt+1)
 	// Reports on the first attempt are ignored.
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.report("w1", 8, 1, &link.Report{Ends: []link.End{ended(first, link.Failed)}})
 	h.takeActions()
 	h.Assert(h.answers["a"] == nil, qt.IsTrue)
@@ -192,7 +192,7 @@
 	h.report(name, 7, 1, &link.Report{Answers: []link.StartAnswer{started(first)}})
 	h.s.AgentDisconnected(h.now, name, "reset")
 	h.advance(100 * ms)
-	h.s.AgentConnected(h.now, name)
+	h.s.AgentConnected(h.now, name, 1)
 	commands := h.takeActions()
 	h.Assert(commands, qt.HasLen, 1)
 	h.Assert(commands[0].Claims, qt.HasLen, 1)
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -114,7 +114,7 @@
 
 	// The worker may have another zone when its agent is back: nothing is said before its report.
 	h.s.AgentDisconnected(h.now, "w1", "killed")
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.Assert(h.s.Evacuation("w1"), qt.Equals, link.Evacuation{})
 	h.Assert(h.notifiedWorkers(), qt.HasLen, 0)
 	state := h.s.workers["w1"].state
@@ -199,7 +199,7 @@
 	h.mustAccept(h.newJob("new", 1, 100*ms))
 	h.now += h.s.opts.RestartDelay
 	h.mustRefuse(h.newJob("away", 1, 100*ms))
-	h.s.AgentConnected(h.now, "w2")
+	h.s.AgentConnected(h.now, "w2", 1)
 	h.mustAccept(h.newJob("back", 1, 100*ms))
 	h.Assert(h.s.Stats().EvacuationRefusals, qt.Equals, int64(1))
 }
@@ -235,7 +235,7 @@
 // are in an evacuated zone, or because it is kept for a worker there that hasn't failed it.
 func TestConstraintsAndEvacuation(t *testing.T) {
 	h := newZonesHarness(t)
-	h.s.AgentConnected(h.now, "w3")
+	h.s.AgentConnected(h.now, "w3", 1)
 	h.report("w3", 8, 1, &link.Report{Worker: &link.WorkerState{Service: "service", Zone: "a", Labels: []string{"gpu"}, Capacity: link.Resources{MilliCPU: 32000}}})
 	h.evacuate(5, "a")
 	labelled := h.newJob("a", 1, 100*ms)
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -14,8 +14,8 @@
 )
 
 // AgentConnected records a new connection to an agent. It claims the attempts
-// that were lost with an earlier connection.
-func (s *Scheduler) AgentConnected(now time.Duration, name string) {
+// that were lost with an earlier connection. incarnation is that of the agent's process.
+func (s *Scheduler) AgentConnected(now time.Duration, name string, incarnation uint64) {
 	// A connection that is still recorded has ended: an agent has one connection.
 	s.AgentDisconnected(now, name, "replaced by a newer connection")
 	w := s.workers[name]
@@ -28,7 +28,9 @@
 		s.byActivation = nil
 	}
 	w.connected, w.reported, w.zoneReported, w.active, w.activeSince, w.lastAvailable, w.leavesAt = true, false, false, true, now, now, 0
+	w.incarnation = incarnation
 	s.workersChanged()
+	s.passOnSpeed(now, w)
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
 		if t.phase == lost {
@@ -120,6 +122,7 @@
 	}
 	w.reported, w.accepting, w.free, w.reportedAt = true, r.Accepting, r.Free, now
 	w.speed, w.failureRate = clamp(r.Speed, minSpeed, maxReportedSpeed), clamp(r.FailureRate, 0, 1)
+	w.noteSpeed(now, r)
 	s.contentionReported(now, w, r)
 	for i := range r.Answers {
 		s.startAnswered(now, w, &r.Answers[i])
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -90,7 +90,7 @@
 		state := &link.WorkerState{ID: name, Service: "service", Zone: fmt.Sprint("z", i%3), Labels: labels, Capacity: link.Resources{MilliCPU: 12000, MemoryMB: 1 << 20}}
 		speed := float32(0.5 + p.rnd.Float64())
 		p.each(func(s *Scheduler) {
-			s.AgentConnected(p.now, name)
+			s.AgentConnected(p.now, name, 1)
 			s.AgentReported(p.now, name, &link.Report{Accepting: true, Speed: speed, Free: state.Capacity, Worker: state})
 		})
 	}
@@ -155,7 +155,7 @@
 		switch kind {
 		case 0:
 			s.AgentDisconnected(p.now, name, "test")
-			s.AgentConnected(p.now, name)
+			s.AgentConnected(p.now, name, 1)
 			r.Worker = &w.state
 		case 1:
 			s.SetEvacuated(p.now, uint64(p.now), []string{fmt.Sprint("z", choice%3)})
@@ -275,7 +275,7 @@
 		reflect.TypeFor[interference.Pool](): "pairs counted",
 		// Labels don't change; a report brings new ones.
 		reflect.TypeFor[link.WorkerState](): "Labels",
-		reflect.TypeFor[Command]():          "Starts Stops Claims",
+		reflect.TypeFor[Command]():          "Starts Stops Claims KnownSpeed",
 	}
 	for typ, names := range known {
 		var found []string
@@ -348,7 +348,7 @@
 	now := time.Hour
 	for i := range workers {
 		name := fmt.Sprint("w", i)
-		s.AgentConnected(now, name)
+		s.AgentConnected(now, name, 1)
 		capacity := link.Resources{MilliCPU: 16000, MemoryMB: 1 << 20}
 		s.AgentReported(now, name, &link.Report{Accepting: true, Speed: 1, Free: capacity, Worker: &link.WorkerState{ID: name, Service: "service", Capacity: capacity}})
 	}
--- a/dispatch/kind_test.go
+++ b/dispatch/kind_test.go
@@ -17,7 +17,7 @@
 			Revision: revision, ID: "life-w1", Service: "service", Labels: []string{label}, Capacity: link.Resources{MilliCPU: 32000, MemoryMB: 1 << 20},
 		}}
 	}
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.report("w1", 8, 1, kind(1, "a"))
 	job := h.newJob("a", 2, 100*ms)
 	job.Steps[0].RequiredLabel = "a"
@@ -35,7 +35,7 @@
 	h.Assert(h.takeStarts()["w1"], qt.HasLen, 6)
 
 	// A refused start of the former kind goes elsewhere under the same attempt.
-	h.s.AgentConnected(h.now, "w2")
+	h.s.AgentConnected(h.now, "w2", 1)
 	h.report("w2", 8, 1, kind(1, "a"))
 	h.report("w1", 0, 1, &link.Report{Worker: kind(4, "b").Worker, Answers: []link.StartAnswer{{Task: starts[0].Task, Attempt: 1, Result: link.Refused}}})
 	again := h.takeStarts()["w2"]
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -244,7 +244,7 @@
 	h.Assert(h.takeStops(), qt.HasLen, 0)
 	h.s.AgentDisconnected(h.now, "w1", "timeout")
 	h.now += 300 * ms
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.takeStops()
 	h.leave("w1", 300*ms, &link.Report{Answers: []link.StartAnswer{started(starts[0]), started(starts[1])}})
 	h.Assert(h.takeStops(), qt.HasLen, 0)
@@ -313,7 +313,7 @@
 	h.Assert(h.takeStops(), qt.HasLen, 1)
 	h.s.AgentDisconnected(h.now, "w1", "timeout")
 	h.now += 100 * ms
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	h.takeStops()
 	h.leave("w1", 500*ms, &link.Report{Answers: []link.StartAnswer{started(s)}})
 	h.Assert(h.takeStops(), qt.HasLen, 1)
--- a/dispatch/loss_test.go
+++ b/dispatch/loss_test.go
@@ -15,7 +15,7 @@
 func TestTaskThatFailedOnTheOnlyLabelledWorkerStartsAgain(t *testing.T) {
 	h := newHarness(t)
 	h.addWorker("plain", 8, 1)
-	h.s.AgentConnected(h.now, "labelled")
+	h.s.AgentConnected(h.now, "labelled", 1)
 	h.report("labelled", 8, 1, &link.Report{Worker: &link.WorkerState{
 		ID: "life-labelled", Service: "service", Labels: []string{"gpu"}, Capacity: link.Resources{MilliCPU: 32000, MemoryMB: 1 << 20},
 	}})
@@ -45,11 +45,11 @@
 		h.s.AgentDisconnected(h.now, "w1", "reset")
 		h.addWorker("w2", 8, 1)
 		h.advance(100 * ms)
-		h.s.AgentConnected(h.now, "w1")
+		h.s.AgentConnected(h.now, "w1", 1)
 		h.s.AgentDisconnected(h.now, "w1", "reset")
 		h.takeActions()
 		if returns {
-			h.s.AgentConnected(h.now, "w1")
+			h.s.AgentConnected(h.now, "w1", 1)
 			h.Assert(h.takeActions()[0].Claims, qt.HasLen, 1)
 			h.report("w1", 8, 1, &link.Report{Ends: []link.End{ended(first[0], link.Done)}})
 		} else {
@@ -97,7 +97,7 @@
 	h.mustAccept(h.newJob("a", 2, 100*ms))
 	starts := h.takeStarts()["w1"]
 	h.report("w1", 7, 1, &link.Report{Answers: []link.StartAnswer{started(starts[0])}})
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	claims := h.takeActions()[0].Claims
 	h.Assert(claims, qt.HasLen, 2)
 	h.report("w1", 8, 1, &link.Report{
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -126,6 +126,10 @@
 	free        link.Resources
 	speed       float64
 	failureRate float64
+	// known is the speed that the agent's processes have measured, incarnation that of the
+	// present one.
+	known       knownSpeed
+	incarnation uint64
 	// reportedAt is the time of that report.
 	reportedAt time.Duration
 	// backoffUntil is the time until which a worker that refused a start gets no
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -79,6 +79,8 @@
 	Starts   []link.Start
 	Stops    []link.Stop
 	Claims   []link.Claim
+	// KnownSpeed is link.Commands.KnownSpeed.
+	KnownSpeed *link.KnownSpeed
 }
 
 // Actions are the effects that the caller of this package has to carry out.
--- a/dispatch/unsent_test.go
+++ b/dispatch/unsent_test.go
@@ -38,7 +38,7 @@
 		start := h.takeStarts()["w1"][0]
 		h.report("w1", 7, 1, &link.Report{Answers: []link.StartAnswer{started(start)}})
 		h.s.AgentDisconnected(h.now, "w1", "reset")
-		h.s.AgentConnected(h.now, "w1")
+		h.s.AgentConnected(h.now, "w1", 1)
 		if sent {
 			h.takeActions()
 		}
@@ -56,7 +56,7 @@
 	h.addWorker("w1", 8, 1)
 	h.mustAccept(h.newJob("a", 2, 100*ms))
 	h.s.AgentDisconnected(h.now, "w1", "reset")
-	h.s.AgentConnected(h.now, "w1")
+	h.s.AgentConnected(h.now, "w1", 1)
 	commands := h.takeActions()
 	for _, c := range commands {
 		h.Assert(c.Claims, qt.HasLen, 0)
--- a/dispatchd/agents.go
+++ b/dispatchd/agents.go
@@ -127,7 +127,7 @@
 	conn := link.NewConn(raw)
 	defer conn.Close()
 	defer context.AfterFunc(ctx, conn.Close)()
-	agentClock, err := handshake(conn, d.opts.Name, d.opts.Incarnation, a.name)
+	welcome, agentClock, err := handshake(conn, d.opts.Name, d.opts.Incarnation, a.name)
 	if err != nil {
 		return false, err
 	}
@@ -139,7 +139,7 @@
 		}
 		a.conn, a.clock, a.liveness = conn, agentClock, timing.Liveness{LastSent: now, LastReceived: now}
 		a.sequence, a.heard = 0, 0
-		d.scheduler.AgentConnected(now, a.name)
+		d.scheduler.AgentConnected(now, a.name, welcome.Incarnation)
 	})
 	for {
 		var r link.Report
@@ -157,24 +157,23 @@
 	}
 }
 
-// handshake exchanges the first messages with an agent, and returns the agent's clock.
-func handshake(conn *link.Conn, entry string, incarnation uint64, agent string) (agentClock timing.PeerClock, err error) {
+// handshake exchanges the first messages with an agent, and returns its message and its clock.
+func handshake(conn *link.Conn, entry string, incarnation uint64, agent string) (w link.Welcome, agentClock timing.PeerClock, err error) {
 	if err := conn.Send(&link.Hello{Protocol: link.Protocol, Entry: entry, Incarnation: incarnation}); err != nil {
-		return agentClock, err
+		return w, agentClock, err
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(welcomeTimeout))
-	var w link.Welcome
 	if err := conn.ReadFirst(&w); err != nil {
-		return agentClock, err
+		return w, agentClock, err
 	}
 	agentClock.Observe(clock.SinceBoot(), time.Duration(w.ClockMS)*time.Millisecond)
 	switch {
 	case w.Protocol != link.Protocol:
-		return agentClock, errors.Errorf("agent uses protocol version %d, want %d", w.Protocol, link.Protocol)
+		return w, agentClock, errors.Errorf("agent uses protocol version %d, want %d", w.Protocol, link.Protocol)
 	case w.Agent != agent:
-		return agentClock, errors.Errorf("got agent %q at the address of agent %q", w.Agent, agent)
+		return w, agentClock, errors.Errorf("got agent %q at the address of agent %q", w.Agent, agent)
 	}
-	return agentClock, conn.SetReadDeadline(time.Time{})
+	return w, agentClock, conn.SetReadDeadline(time.Time{})
 }
 
 // connectionLost records the loss of the connection to an agent.
--- a/dispatchd/agents_test.go
+++ b/dispatchd/agents_test.go
@@ -53,7 +53,7 @@
 	conn := link.NewConn(client)
 	defer conn.Close()
 	d.agents["w1"].conn = conn
-	d.scheduler.AgentConnected(now, "w1")
+	d.scheduler.AgentConnected(now, "w1", 1)
 	need := link.Resources{MilliCPU: 1000}
 	d.scheduler.AgentReported(now, "w1", &link.Report{Accepting: true, Free: need, Speed: 1, Worker: &link.WorkerState{Service: "s", Capacity: need}})
 	refusal := d.scheduler.Submit(now, dispatch.Job{
@@ -66,7 +66,7 @@
 
 	d.updateAgents(now, member("127.0.0.1:2"))
 	// The task is claimed at the new address, since it may still run.
-	d.scheduler.AgentConnected(now, "w1")
+	d.scheduler.AgentConnected(now, "w1", 1)
 	commands := d.scheduler.TakeActions(now).Commands
 	c.Assert(commands, qt.HasLen, 1)
 	c.Assert(commands[0].Claims, qt.HasLen, 1)
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -371,7 +371,7 @@
 		}
 		d.metrics.starts.Inc(int64(len(c.Starts)))
 		d.metrics.stops.Inc(int64(len(c.Stops)))
-		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker)}
+		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed}
 		if err := packer.Pack(commands); err != nil {
 			// The connection would be out of step with the scheduler; its loss puts the
 			// starts right.
