dispatch: Keep kinds of tasks apart that the operator names

Pairs of kinds counted only once agents had learnt them from run times. Pairs in Options.KeepApart now count from the start, in both directions and with a factor of 2, through the same code as learnt ones, so that they yield in the same way where capacity is scarce or tasks would be late.

Agents report the tasks of other entries only for kinds that seem to slow each other down. Commands.CountKinds therefore names the kinds to report, in the first message of a connection, and only with the setting.

The other tests were seen to fail without the second direction, with the lower of two factors, without CountKinds at the entry and at the agent, and without the bound of the list.

--- a/bench/interleaving/entry_test.go
+++ b/bench/interleaving/entry_test.go
@@ -175,7 +175,7 @@
 			e.w.note(c.Starts[j].Task.Job, e.name, "start of %v attempt %d sent to %s", c.Starts[j].Task, c.Starts[j].Attempt, c.Worker)
 		}
 		e.send(now, e.links[c.Worker], &link.Commands{
-			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: e.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed,
+			Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: e.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed, CountKinds: c.CountKinds,
 		})
 	}
 	for _, answer := range out.Answers {
--- a/bench/model/entry.go
+++ b/bench/model/entry.go
@@ -206,7 +206,7 @@
 		c := &out.Commands[i]
 		e.sim.starts += int64(len(c.Starts))
 		if l := e.byName[c.Worker]; l != nil && l.conn != nil {
-			e.send(now, l, &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, KnownSpeed: c.KnownSpeed})
+			e.send(now, l, &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: e.scheduler.HasWaitingJobs(), Inactive: c.Inactive, KnownSpeed: c.KnownSpeed, CountKinds: c.CountKinds})
 		}
 	}
 	for _, answer := range out.Answers {
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -34,6 +34,15 @@
 	s.logPairs(s.pairs.Update(now, w.name, s.agentsLike(w), list))
 }
 
+// askForKinds asks an agent that has connected to report the tasks of the kinds that the
+// operator keeps apart. Most of them are those of other entries, and agents report only kinds
+// that seem to slow each other down otherwise.
+func (s *Scheduler) askForKinds(w *worker) {
+	if kinds := s.pairs.KeptApartKinds(); len(kinds) > 0 {
+		s.command(w).CountKinds = kinds
+	}
+}
+
 // agentsLike counts the connected agents of a worker's service, up to 2.
 func (s *Scheduler) agentsLike(w *worker) int {
 	n := 0
@@ -66,13 +75,29 @@
 	return s.pairs.Counting() > 0 && s.opts.Policy.ContentionWeight > 0 && s.freeShare(service) >= s.opts.Policy.ScarceFreeShare
 }
 
+// pairsOf returns the pairs that count for a task. Most pairs of a long list are those of other
+// kinds, and each is compared with each worker.
+func (s *Scheduler) pairsOf(t *task) []interference.Counted {
+	var pairs []interference.Counted
+	for _, p := range s.pairs.Counted() {
+		if p.Kind == t.job.Queue || p.Neighbor == t.job.Queue {
+			pairs = append(pairs, p)
+		}
+	}
+	return pairs
+}
+
 // contention returns the factor by which the cost of a worker rises because of the kinds of
 // tasks that run there: the slowdown of the task, times one plus that which it causes to
 // each of them. A kind that is there already causes its slowdown without the task.
-func (s *Scheduler) contention(t *task, w *worker) float64 {
+// pairs are those that count and have the kind of the task.
+func (s *Scheduler) contention(t *task, w *worker, pairs []interference.Counted) float64 {
+	if len(w.tasks)+len(w.running) == 0 {
+		return 1
+	}
 	kind := t.job.Queue
 	own, harm := 1.0, 0.0
-	for _, p := range s.pairs.Counted() {
+	for _, p := range pairs {
 		if p.Kind == kind && w.countOf(p.Neighbor) > 0 {
 			own *= p.Factor
 		}
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -135,6 +135,68 @@
 	qt.Assert(t, slices.Equal(with, without), qt.IsTrue)
 }
 
+// Load pattern: random jobs of three queues at growing load, two of which slow each other down.
+// Guards against a setting that has another effect than a pair which agents have found: where
+// there is no room for it, and where it would make tasks late.
+func TestSettingHasTheEffectOfALearntPair(t *testing.T) {
+	placed := func(learnt bool, keepApart ...interference.Pair) (starts []string) {
+		h := newHarness(t)
+		h.s = New(Options{RestartDelay: 900 * ms, RackSlowdown: 1.5, Seed: 1, MaxWaitingJobs: 100, KeepApart: keepApart})
+		random := rand.New(rand.NewPCG(3, 4))
+		for i := range 20 {
+			h.addWorker(fmt.Sprint("w", i), 8, 0.5+random.Float64())
+		}
+		for i := range 2 {
+			if learnt {
+				h.report(fmt.Sprint("w", i), 8, 1, &link.Report{Pairs: []link.Pair{pair("q1", "q2", 2), pair("q2", "q1", 2)}})
+			} else {
+				h.report(fmt.Sprint("w", i), 8, 1, &link.Report{})
+			}
+		}
+		h.takeActions()
+		for i := range 400 {
+			h.now += 5 * ms
+			j := h.newJob(fmt.Sprint("j", i), 1+random.IntN(3), 100*ms)
+			j.Queue = fmt.Sprint("q", i%3)
+			if h.s.Submit(h.now, j) != nil {
+				starts = append(starts, "refused")
+			}
+			for _, command := range h.takeActions() {
+				r := &link.Report{Running: []link.KindCount{{Kind: fmt.Sprint("q", random.IntN(3)), Count: 1}}}
+				for _, s := range command.Starts {
+					starts = append(starts, fmt.Sprint(command.Worker, s.Task))
+					r.Answers, r.Ends = append(r.Answers, started(s)), append(r.Ends, ended(s, link.Done))
+				}
+				h.report(command.Worker, 2+random.IntN(8-i/100), 0.5+random.Float64(), r)
+			}
+		}
+		return starts
+	}
+	both, plain := interference.Pair{Kind: "q1", Neighbor: "q2"}, placed(false)
+	found := placed(true)
+	qt.Assert(t, slices.Equal(found, plain), qt.IsFalse)
+	qt.Check(t, placed(false, both), qt.DeepEquals, found)
+	qt.Check(t, placed(true, both), qt.DeepEquals, found)
+	qt.Check(t, placed(false, interference.Pair{Kind: "q1", Neighbor: "unknown"}), qt.DeepEquals, plain)
+}
+
+// Guards against an entry that keeps kinds apart and doesn't ask a connection's agent for their
+// tasks, and against messages without the setting.
+func TestAgentsAreAskedForKindsThatAreKeptApart(t *testing.T) {
+	for _, pairs := range [][]interference.Pair{nil, {{Kind: "b", Neighbor: "a"}}} {
+		h := newHarness(t)
+		h.s = New(Options{RestartDelay: 900 * ms, MaxWaitingJobs: 100, KeepApart: pairs})
+		for range 2 {
+			h.s.AgentConnected(h.now, "w1", 1)
+			commands := h.takeActions()
+			h.Assert(commands, qt.HasLen, len(pairs))
+			if len(pairs) > 0 {
+				h.Assert(commands[0].CountKinds, qt.DeepEquals, []string{"a", "b"})
+			}
+		}
+	}
+}
+
 // The cost of placing a task on one of 890 workers, without and with pairs that count.
 func BenchmarkPlacement(b *testing.B) {
 	for _, pairs := range []int{0, 1, 8} {
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -31,6 +31,7 @@
 	w.incarnation = incarnation
 	s.workersChanged()
 	s.passOnSpeed(now, w)
+	s.askForKinds(w)
 	w.unconfirmed = link.Resources{}
 	for _, t := range w.sortedTasks() {
 		if t.phase == lost {
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -265,17 +265,18 @@
 // although the events of the test above don't set it.
 func TestSnapshotKnowsAllReferences(t *testing.T) {
 	known := map[reflect.Type]string{
-		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation onCandidate onPick",
+		// The options don't change.
+		reflect.TypeFor[Scheduler](): "opts jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation onCandidate onPick",
 		reflect.TypeFor[worker]():    "state tasks running",
 		reflect.TypeFor[job]():       "Job tasks unfinished",
 		// The steps and the spec of a job don't change.
 		reflect.TypeFor[Job]():               "Steps",
 		reflect.TypeFor[task]():              "job worker failedOn movesTo",
 		reflect.TypeFor[evacuation]():        "since unchecked runnableUntil",
-		reflect.TypeFor[interference.Pool](): "pairs counted",
+		reflect.TypeFor[interference.Pool](): "pairs learned keptApart counted",
 		// Labels don't change; a report brings new ones.
 		reflect.TypeFor[link.WorkerState](): "Labels",
-		reflect.TypeFor[Command]():          "Starts Stops Claims KnownSpeed",
+		reflect.TypeFor[Command]():          "Starts Stops Claims KnownSpeed CountKinds",
 	}
 	for typ, names := range known {
 		var found []string
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -330,7 +331,10 @@
 	eligible := false
 	need := t.step().Need
 	timeLeft := t.job.dueAt - now
-	keepApart := s.keepsApart(t.job.Service)
+	var pairs []interference.Counted
+	if s.keepsApart(t.job.Service) {
+		pairs = s.pairsOf(t)
+	}
 	for _, w := range s.workersByName {
 		if !w.usable(t.job.Service) || !s.eligible(t, w) {
 			continue
@@ -348,8 +352,8 @@
 		if plain.w == nil || c.cost < plain.cost {
 			plain = c
 		}
-		if keepApart {
-			c.cost *= s.contention(t, w)
+		if len(pairs) > 0 {
+			c.cost *= s.contention(t, w, pairs)
 		}
 		if best.w == nil || c.cost < best.cost {
 			best = c
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -30,8 +30,8 @@
 	c.commands = make(map[string]*Command, len(s.commands))
 	for name, command := range s.commands {
 		copied := *command
-		// Decisions don't read it.
-		copied.KnownSpeed = nil
+		// Decisions don't read them.
+		copied.KnownSpeed, copied.CountKinds = nil, nil
 		copied.Starts, copied.Stops, copied.Claims = slices.Clone(command.Starts), slices.Clone(command.Stops), slices.Clone(command.Claims)
 		c.commands[name] = &copied
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -220,7 +220,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
-		pairs:      interference.NewPool(),
+		pairs:      interference.NewPool(o.KeepApart...),
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -16,6 +16,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -79,8 +80,9 @@
 	Starts   []link.Start
 	Stops    []link.Stop
 	Claims   []link.Claim
-	// KnownSpeed is link.Commands.KnownSpeed.
+	// KnownSpeed and CountKinds are those of link.Commands.
 	KnownSpeed *link.KnownSpeed
+	CountKinds []string
 }
 
 // Actions are the effects that the caller of this package has to carry out.
@@ -110,6 +112,9 @@
 	// in units of TaskBytes; 0 means no limit. A job is accepted in any case while there is no
 	// other.
 	MaxTasks int
+	// KeepApart lists kinds of tasks that are kept apart like those that are found to slow
+	// each other down.
+	KeepApart []interference.Pair
 	// Policy weighs the decisions. The zero value stands for DefaultPolicy.
 	Policy Policy
 }
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -26,6 +26,7 @@
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
 	"github.com/sesamelift/sesamelift/dispatch"
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 	"github.com/sesamelift/sesamelift/routes"
 	"github.com/sesamelift/sesamelift/timing"
@@ -77,7 +78,9 @@
 	// RackSlowdown is the factor by which a task takes longer on a worker outside
 	// the rack that holds its data.
 	RackSlowdown float64
-	Store        directory.Store
+	// KeepApart lists kinds of tasks that are kept apart, see dispatch.Options.
+	KeepApart []interference.Pair
+	Store     directory.Store
 	// ConfigTable and ConfigKey name the row of Store with the configuration, and
 	// DecodeConfig decodes its value.
 	ConfigTable  string
@@ -170,7 +173,7 @@
 		opts: o, startedAt: startedAt, events: make(chan event, eventQueueSize), queuedSubmissions: map[string]int{},
 		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}),
 		scheduler: dispatch.New(dispatch.Options{
-			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
+			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, KeepApart: o.KeepApart, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
@@ -371,7 +374,7 @@
 		}
 		d.metrics.starts.Inc(int64(len(c.Starts)))
 		d.metrics.stops.Inc(int64(len(c.Stops)))
-		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed}
+		commands := &link.Commands{Starts: c.Starts, Stops: c.Stops, Claims: c.Claims, Waiting: d.scheduler.HasWaitingJobs(), Inactive: c.Inactive, Evacuation: d.scheduler.Evacuation(c.Worker), KnownSpeed: c.KnownSpeed, CountKinds: c.CountKinds}
 		if err := packer.Pack(commands); err != nil {
 			// The connection would be out of step with the scheduler; its loss puts the
 			// starts right.
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -353,6 +353,30 @@
 	c.Check(p.Counting(), qt.Equals, 0)
 }
 
+// Guards against pairs of the settings that count in one direction only, are lost when a
+// learnt pair ceases to count, or hide that it counts for more.
+func TestPairsKeptApartByTheOperator(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(Pair{"b", "a"}, Pair{"a", "b"}, Pair{"c", "c"}, Pair{"c", "a"})
+	c.Check(p.KeptApartKinds(), qt.DeepEquals, []string{"a", "b", "c"})
+	factors := func(pool *Pool) []float64 {
+		return []float64{pool.Factor("a", "b"), pool.Factor("b", "a"), pool.Factor("c", "c"), pool.Factor("a", "c"), pool.Factor("b", "c")}
+	}
+	c.Check(factors(p), qt.DeepEquals, []float64{2, 2, 2, 2, 1})
+	learn := func(factor float64) []Change {
+		return p.Update(0, "w", 1, []Summary{{Pair{"a", "b"}, Sums{XX: 100, XY: 101 * math.Log(factor), Residual: 10, Freedom: 1000}}})
+	}
+	c.Check(learn(1.5), qt.HasLen, 1)
+	c.Check(p.Factor("a", "b"), qt.Equals, 2.0)
+	c.Check(learn(3), qt.HasLen, 0)
+	c.Check(p.Factor("a", "b") > 2.9, qt.IsTrue)
+	c.Check(p.Counting(), qt.Equals, 5)
+	c.Check(p.CountedOnly().Counted(), qt.DeepEquals, p.Counted())
+	c.Check(learn(1), qt.HasLen, 1)
+	c.Check(factors(p), qt.DeepEquals, []float64{2, 2, 2, 2, 1})
+	c.Check(NewPool().KeptApartKinds(), qt.HasLen, 0)
+}
+
 // The search for suspected pairs with as many kinds as an agent keeps, once a second.
 func BenchmarkReview(b *testing.B) {
 	l := NewLearner()
--- a/interference/pool.go
+++ b/interference/pool.go
@@ -26,6 +26,11 @@
 	// minSources is the number of agents that a pair needs in order to count, where there
 	// are as many, so that a single one doesn't decide.
 	minSources = 2
+	// keptApartFactor is the factor of a pair that the operator keeps apart.
+	keptApartFactor = 2
+	// MaxKeptApart bounds the pairs that an operator may keep apart: the placement of a task
+	// compares those of its kind with the tasks of each worker.
+	MaxKeptApart = 16
 )
 
 // sourceSums are the latest sums of a pair from one agent.
@@ -54,9 +59,10 @@
 // Pool adds up the summaries of agents. It is not safe for concurrent use.
 type Pool struct {
 	pairs map[Pair]*pooled
-	// counted lists the pairs that count, sorted.
-	counted  []Counted
-	expireAt time.Duration
+	// learned lists the pairs that count because of the sums, keptApart those that count by
+	// order of the operator, and counted both; all are sorted.
+	learned, keptApart, counted []Counted
+	expireAt                    time.Duration
 }
 
 // Counted is a pair that counts, and its factor.
@@ -69,8 +75,36 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Neighbor, b.Neighbor))
 }
 
-// NewPool returns a Pool without pairs.
-func NewPool() *Pool { return &Pool{pairs: map[Pair]*pooled{}} }
+// NewPool returns a Pool without sums. The kinds of each pair in keepApart count as slowing
+// each other down in both directions.
+func NewPool(keepApart ...Pair) *Pool {
+	p := &Pool{pairs: map[Pair]*pooled{}}
+	for _, pair := range keepApart {
+		p.keptApart = append(p.keptApart, Counted{pair, keptApartFactor}, Counted{Pair{pair.Neighbor, pair.Kind}, keptApartFactor})
+	}
+	slices.SortFunc(p.keptApart, func(a, b Counted) int { return comparePairs(a.Pair, b.Pair) })
+	p.keptApart = slices.Compact(p.keptApart)
+	p.merge()
+	return p
+}
+
+// merge brings counted up to date. A pair that is kept apart and learned counts with the
+// higher factor.
+func (p *Pool) merge() {
+	p.counted = slices.Concat(p.learned, p.keptApart)
+	slices.SortFunc(p.counted, func(a, b Counted) int { return cmp.Or(comparePairs(a.Pair, b.Pair), cmp.Compare(b.Factor, a.Factor)) })
+	p.counted = slices.CompactFunc(p.counted, func(a, b Counted) bool { return a.Pair == b.Pair })
+}
+
+// KeptApartKinds returns the kinds that are kept apart by order of the operator, sorted.
+func (p *Pool) KeptApartKinds() []string {
+	var kinds []string
+	for _, c := range p.keptApart {
+		// Both directions of each pair are listed.
+		kinds = append(kinds, c.Kind)
+	}
+	return slices.Compact(kinds)
+}
 
 // CountedOnly returns a Pool with a copy of the pairs that count, without the sums.
 func (p *Pool) CountedOnly() *Pool {
@@ -177,15 +211,16 @@
 		counts = confidence >= ceaseConfidence && factor >= ceaseFactor
 	}
 	counts = counts && len(q.sources) >= min(minSources, q.agents)
-	at, found := slices.BinarySearchFunc(p.counted, pair, func(c Counted, pair Pair) int { return comparePairs(c.Pair, pair) })
+	at, found := slices.BinarySearchFunc(p.learned, pair, func(c Counted, pair Pair) int { return comparePairs(c.Pair, pair) })
 	switch {
 	case counts && found:
-		p.counted[at].Factor = factor
+		p.learned[at].Factor = factor
 	case counts:
-		p.counted = slices.Insert(p.counted, at, Counted{pair, factor})
+		p.learned = slices.Insert(p.learned, at, Counted{pair, factor})
 	case found:
-		p.counted = slices.Delete(p.counted, at, at+1)
+		p.learned = slices.Delete(p.learned, at, at+1)
 	}
+	p.merge()
 	if counts == q.counts {
 		return changes
 	}
@@ -213,7 +248,7 @@
 	return changes
 }
 
-// Counting is the number of pairs that count.
+// Counting is the number of pairs that count, learned or kept apart.
 func (p *Pool) Counting() int { return len(p.counted) }
 
 // Counted returns the pairs that count, sorted. It must not be changed.
--- a/link/messages.go
+++ b/link/messages.go
@@ -145,6 +145,9 @@
 	// KnownSpeed is set in the first message to an agent that has restarted, if the entry
 	// knows the speed of its worker from the time before.
 	KnownSpeed *KnownSpeed
+	// CountKinds lists kinds that the agent is to include in Report.Running of this connection.
+	// It is set in the first message of a connection; without it, the list stays in effect.
+	CountKinds []string
 }
 
 // Values of StartAnswer.Result.
@@ -275,7 +278,7 @@
 	// slow each other down.
 	Pairs []Pair
 	// Running lists the kinds of which tasks run on the worker, as far as they seem to slow
-	// down others or to be slowed down.
+	// down others or to be slowed down, or the entry has asked for them.
 	Running []KindCount
 	// LongTermSpeed is the average of Speed over several seconds. It is 0 while the agent has
 	// measured no run of the worker since it started, so that Speed is only assumed.
--- a/link/messages_gen.go
+++ b/link/messages_gen.go
@@ -128,8 +128,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Commands) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendInt64(o, z.AsOfMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Claims)))
@@ -179,6 +179,10 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.CountKinds)))
+	for za0005 := range z.CountKinds {
+		o = msgp.AppendString(o, z.CountKinds[za0005])
+	}
 	return
 }
 
@@ -190,8 +194,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -374,6 +378,28 @@
 			return
 		}
 	}
+	var zb0009 uint32
+	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CountKinds")
+		return
+	}
+	if zb0009 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.CountKinds) >= int(zb0009) {
+		z.CountKinds = (z.CountKinds)[:zb0009]
+	} else {
+		z.CountKinds = make([]string, zb0009)
+	}
+	for za0005 := range z.CountKinds {
+		z.CountKinds[za0005], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "CountKinds", za0005)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -402,6 +428,10 @@
 	} else {
 		s += z.KnownSpeed.Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0005 := range z.CountKinds {
+		s += msgp.StringPrefixSize + len(z.CountKinds[za0005])
+	}
 	return
 }
 
--- a/runner/contention.go
+++ b/runner/contention.go
@@ -152,10 +152,24 @@
 	return !conn.inactive && conn.pairsRevision < s.learner.Revision() && now-conn.pairsAt >= pairsInterval
 }
 
-// reportPairs adds changed sums to a report, and the kinds that run now if there are
-// suspected pairs.
+// learnKinds takes over the list of kinds that an entry asks for, as far as it isn't longer
+// than any entry's.
+func (conn *entryConn) learnKinds(kinds []string) {
+	if len(kinds) == 0 {
+		return
+	}
+	conn.countKinds = nil
+	for _, kind := range kinds[:min(len(kinds), 2*interference.MaxKeptApart)] {
+		if len(kind) <= interference.MaxKindLength {
+			conn.countKinds = append(conn.countKinds, kind)
+		}
+	}
+}
+
+// reportPairs adds changed sums to a report, and the kinds that run now if they are part of
+// suspected pairs or the entry asks for them.
 func (s *State) reportPairs(now time.Duration, conn *entryConn, rep *link.Report) {
-	if s.learner.Revision() == 0 {
+	if s.learner.Revision() == 0 && len(conn.countKinds) == 0 {
 		return
 	}
 	if s.pairsDue(now, conn) {
@@ -170,7 +184,7 @@
 	}
 	counts := map[string]uint16{}
 	for _, r := range s.runs {
-		if r.kind != "" && s.learner.Involved(r.kind) {
+		if r.kind != "" && (s.learner.Involved(r.kind) || slices.Contains(conn.countKinds, r.kind)) {
 			counts[r.kind]++
 		}
 	}
--- a/runner/contention_test.go
+++ b/runner/contention_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sesamelift/sesamelift/interference"
 	"github.com/sesamelift/sesamelift/link"
 )
 
@@ -110,3 +112,25 @@
 		}
 	}
 }
+
+// Guards against an entry that keeps kinds apart by its settings and doesn't see the tasks of
+// other entries, against reports that grow for entries without that setting, and against lists
+// that fill the agent's memory.
+func TestKindsThatAnEntryAsksFor(t *testing.T) {
+	f := newKindsFixture(t)
+	f.sendCommands(1, &link.Commands{CountKinds: append([]string{strings.Repeat("x", 65), "a", "never"}, make([]string, 100)...)})
+	f.Assert(len(f.s.conns[1].countKinds) <= 2*interference.MaxKeptApart, qt.IsTrue)
+	var starts []link.Start
+	for i, kind := range []string{"a", "a", "b"} {
+		s := start("j", i)
+		s.Kind = kind
+		starts = append(starts, s)
+	}
+	f.sendCommands(2, &link.Commands{Starts: starts})
+	f.now += 100 * ms
+	f.sendCommands(1, &link.Commands{})
+	f.Assert(f.reports[1].Running, qt.DeepEquals, []link.KindCount{{Kind: "a", Count: 2}})
+	f.now += 100 * ms
+	f.sendCommands(2, &link.Commands{})
+	f.Assert(f.reports[2].Running, qt.HasLen, 0)
+}
--- a/runner/entries.go
+++ b/runner/entries.go
@@ -72,6 +72,7 @@
 	asOf := min(now, time.Duration(c.AsOfMS)*time.Millisecond)
 	conn.asOf = max(conn.asOf, asOf)
 	s.learnSpeed(now, asOf, conn.entry, c.KnownSpeed)
+	conn.learnKinds(c.CountKinds)
 	becameActive := conn.inactive && !c.Inactive
 	conn.lastHeardAt, conn.sequence, conn.waiting, conn.inactive = now, c.Sequence, c.Waiting, c.Inactive
 	// A ping shortly after a report needs no answer: the entry has just heard from
--- a/runner/state.go
+++ b/runner/state.go
@@ -130,6 +130,8 @@
 	pairsRevision    uint64
 	pairsAt          time.Duration
 	reportedLeavesAt time.Duration
+	// countKinds is the latest link.Commands.CountKinds.
+	countKinds []string
 	// reportDue requests a report even if pending is nil.
 	reportDue bool
 }
