platform: Read keep_apart from the settings of an entry

The operator had no way to say which queues are to be kept apart. The entry logs the pairs at its start.

--- a/host/entry.go
+++ b/host/entry.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/dispatchd"
 	"github.com/sesamelift/sesamelift/platform"
 )
@@ -16,9 +17,16 @@
 
 func setupEntry(p *process) error {
 	s := p.settings
+	if len(s.KeepApart) > 0 {
+		var pairs [][2]string
+		for _, pair := range s.KeepApart {
+			pairs = append(pairs, [2]string{pair.Kind, pair.Neighbor})
+		}
+		p.log.Add(decisions.Info("queues are kept apart by the settings", "pairs", pairs))
+	}
 	var callerServer *http.Server
 	d := dispatchd.New(dispatchd.Options{
-		Name: s.Name, Zone: s.Zone, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown,
+		Name: s.Name, Zone: s.Zone, Incarnation: p.incarnation, Timings: p.timings, RackSlowdown: s.RackSlowdown, KeepApart: s.KeepApart,
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig, EvacuatedZone: platform.EvacuatedZone, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
 		GracePeriod: s.GracePeriod, CloseConnections: func() { callerServer.SetKeepAlivesEnabled(false) },
