Merge the known speed of a worker and the setting keep_apart

A restarted agent starts from the speed that entries know, and operators may name queues to keep apart.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -126,6 +126,10 @@
 	free        link.Resources
 	speed       float64
 	failureRate float64
+	// known is the speed that the agent's processes have measured, incarnation that of the
+	// present one.
+	known       knownSpeed
+	incarnation uint64
 	// reportedAt is the time of that report.
 	reportedAt time.Duration
 	// backoffUntil is the time until which a worker that refused a start gets no
@@ -216,7 +220,7 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
-		pairs:      interference.NewPool(),
+		pairs:      interference.NewPool(o.KeepApart...),
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
