cancellation: Ask the other entries about a job that isn't known here

Cause: a caller's DELETE breaks off, its retry reaches another entry, and that entry answers 410 while the job runs on.

Change: the pure package cancellation decides whom to ask and when, and what the caller is told; dispatchd sends the requests to the control address of the other entries (POST /cancel/v1). 200 if one of them ran and cancelled the job, or had cancelled it for its caller within 10 s; 410 if none that can be reached runs it; 503 with Retry-After if one could not be asked at all. An answer takes at most three quarters of the new optional bound cancel_ms (default 3,000 ms) from the arrival of the request. Entries that don't answer are waited for once, then 0.5 s at most. Requests to an entry come one at a time, 100 ms apart, with up to 256 jobs each; at most 1,024 inquiries are open. Ids that no job can have are answered with 410 without asking.

host.TestJobIsCancelledAtAnotherEntry fails on the code before: 410 "no such job" while both tasks run.

--- a/dispatchd/agents_test.go
+++ b/dispatchd/agents_test.go
@@ -26,7 +26,7 @@
 	log.SetOutput(io.Discard)
 	d := New(Options{
 		Name: "e1", Log: decisions.New(logrus.NewEntry(log)), Metrics: tally.NoopScope,
-		Timings: timing.Timings{RestartDelay: 900 * ms, SilenceTimeout: 500 * ms, PingInterval: 125 * ms},
+		Timings: timing.Timings{RestartDelay: 900 * ms, SilenceTimeout: 500 * ms, PingInterval: 125 * ms, CancelTimeout: 2250 * ms},
 	})
 	t.Cleanup(func() {
 		for _, a := range d.agents {
--- /dev/null
+++ b/dispatchd/cancel_test.go
@@ -0,0 +1,131 @@
+package dispatchd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/clock"
+	"github.com/sesamelift/sesamelift/directory"
+)
+
+// addPeer makes another entry known.
+func (e *runningEntry) addPeer(name, address string) {
+	e.cache.mu.Lock()
+	defer e.cache.mu.Unlock()
+	e.cache.members[name] = directory.Member{Name: name, Role: directory.RoleEntry, Directory: address}
+}
+
+func (e *runningEntry) cancel(id string) (bool, error) {
+	return e.Cancel(context.Background(), id, clock.SinceBoot())
+}
+
+// Guards against "no such job" for a job that another entry runs, or that has been cancelled by
+// a request whose answer was lost, and against a job that goes on after it was cancelled.
+func TestJobIsCancelledAtItsEntry(t *testing.T) {
+	owner, other := startEntry(t), startEntry(t)
+	var requests atomic.Int32
+	count := func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { requests.Add(1); h.ServeHTTP(w, r) })
+	}
+	servers := []*httptest.Server{httptest.NewServer(count(owner.DirectoryHandler())), httptest.NewServer(count(other.DirectoryHandler()))}
+	defer servers[0].Close()
+	defer servers[1].Close()
+	other.addPeer("owner", servers[0].Listener.Addr().String())
+	owner.addPeer("other", servers[1].Listener.Addr().String())
+	ctx, gone := context.WithCancel(context.Background())
+	defer gone()
+	owner.submit(ctx, "j1")
+	known, err := other.cancel("j1")
+	owner.Assert(err, qt.IsNil)
+	owner.Assert(known, qt.IsTrue)
+	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
+	owner.Assert(requests.Load(), qt.Equals, int32(1))
+	// A job that the entry runs itself costs no request.
+	owner.submit(ctx, "j3")
+	known, err = owner.cancel("j3")
+	owner.Assert(err, qt.IsNil)
+	owner.Assert(known, qt.IsTrue)
+	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
+	owner.Assert(requests.Load(), qt.Equals, int32(1))
+	for _, e := range []*runningEntry{owner, other} {
+		known, err = e.cancel("j1")
+		owner.Assert(err, qt.IsNil)
+		owner.Assert(known, qt.IsTrue, qt.Commentf("repeated"))
+	}
+	known, err = other.cancel("j2")
+	owner.Assert(err, qt.IsNil)
+	owner.Assert(known, qt.IsFalse)
+}
+
+// Load pattern: a client cancels jobs at random, while one entry is down and another hangs.
+// Guards against a load on the other entries that grows with that of the client, and against
+// callers that wait beyond the bound.
+func TestRandomCancellationsAreBatched(t *testing.T) {
+	e := startEntry(t)
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer server.Close()
+	e.addPeer("answers", server.Listener.Addr().String())
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	e.Assert(err, qt.IsNil)
+	defer func() { _ = hung.Close() }()
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	e.Assert(err, qt.IsNil)
+	e.addPeer("down", down.Addr().String())
+	_ = down.Close()
+	const callers, each = 50, 20
+	began := time.Now()
+	cancelAll := func() {
+		var wg sync.WaitGroup
+		for n := range callers {
+			wg.Go(func() {
+				for k := range each {
+					if known, err := e.cancel(fmt.Sprintf("%08x%08x", n, k)); known || err != nil {
+						t.Errorf("%v, %v", known, err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	}
+	cancelAll()
+	most := int32(time.Since(began)/(100*ms)) + 2
+	e.Assert(requests.Load() <= most, qt.IsTrue, qt.Commentf("%d requests", requests.Load()))
+	t.Logf("%d cancellations in %v: %d requests to an entry that answers", callers*each, time.Since(began), requests.Load())
+	// A hung entry delays the answer up to the bound, and only until it counts as failing.
+	e.addPeer("hung", hung.Addr().String())
+	for _, bound := range []time.Duration{e.opts.Timings.CancelTimeout, cancelRequestTimeout + 300*ms} {
+		began = time.Now()
+		known, err := e.cancel("0123456789abcdef")
+		e.Assert(err, qt.IsNil)
+		e.Assert(known, qt.IsFalse)
+		e.Assert(time.Since(began) <= bound+500*ms, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+	}
+}
+
+// Guards against requests of other entries that cost more than their bound.
+func TestOddCancelRequestsAreRejected(t *testing.T) {
+	e := startEntry(t)
+	handler := e.DirectoryHandler()
+	for body, status := range map[string]int{
+		`{"jobs":["a"]}`: 200, `{}`: 200, `7`: 400, `{"jobs":["` + strings.Repeat("a", 65) + `"]}`: 400,
+		`{"jobs":["a"` + strings.Repeat(`,"b"`, 256) + `]}`: 400,
+	} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, CancelPath, strings.NewReader(body)))
+		e.Check(w.Code, qt.Equals, status, qt.Commentf("%.40s", body))
+	}
+}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -9,7 +9,8 @@
 // Goroutines: the event loop; one per agent, which connects and reads; one
 // sender per connection; two watchers of the store; one that polls other
 // entries while the store is unreachable, and one for each of them; one that
-// registers the entry in the directory.
+// registers the entry in the directory; one for each other entry that is asked
+// about cancelled jobs.
 package dispatchd
 
 import (
@@ -22,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/cancellation"
 	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/decisions"
 	"github.com/sesamelift/sesamelift/directory"
@@ -140,11 +142,16 @@
 	rejectedEvacuations directory.Rejected
 	metrics             metrics
 
+	// inquirer asks other entries about jobs that callers cancel here.
+	inquirer inquirer
+
 	// The fields below are accessed by the event loop only.
 	scheduler *dispatch.Scheduler
 	agents    map[string]*agent
 	// waiters holds, by job, the channels on which calls of Submit wait.
 	waiters map[string][]chan *api.Verdict
+	// cancelledJobs are the jobs that callers have cancelled lately.
+	cancelledJobs *cancellation.Recent
 	// lastWake is when the event loop last ran. The process last stood still from
 	// stoodStillFrom until stoodStillUntil.
 	lastWake                        time.Duration
@@ -174,7 +181,7 @@
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
-		metrics: newMetrics(o.Metrics),
+		metrics: newMetrics(o.Metrics), inquirer: newInquirer(o.Timings.CancelTimeout), cancelledJobs: cancellation.NewRecent(),
 	}
 }
 
@@ -529,13 +536,6 @@
 	return d.queuedSubmissions[id]
 }
 
-// Cancel ends a job and reports whether it was in progress at this entry. The
-// error is ErrStopped or that of ctx.
-func (d *Dispatcher) Cancel(ctx context.Context, id string) (known bool, err error) {
-	err = d.call(ctx, func(now time.Duration) { known = d.scheduler.Cancel(now, id, "cancelled by its caller") })
-	return known, err
-}
-
 // Find reports whether a job is in progress at this entry and whether a task of
 // it is known to have started. The error is ErrStopped or that of ctx.
 func (d *Dispatcher) Find(ctx context.Context, id string) (known, started bool, err error) {
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -29,6 +29,7 @@
 	evacuationRefusals                                      tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
+	cancelInquiries, cancelRequests, cancelsUnresolved      tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
 	eventWait tally.Histogram
 
@@ -54,8 +55,10 @@
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
 		leaveMoves: scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
-		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
-		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
+		cancelInquiries: scope.Counter("cancel_inquiries_total"), cancelRequests: scope.Counter("cancel_requests_total"),
+		cancelsUnresolved: scope.Counter("cancels_unresolved_total"),
+		eventWait:         scope.Histogram("event_wait_seconds", waitBuckets),
+		latency:           map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
 	}
 	for _, o := range []api.Outcome{api.Complete, api.Failed} {
--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -73,8 +73,8 @@
 }
 
 // DirectoryHandler serves the directory and the configuration of this entry to
-// other entries, and accepts the member rows of agents that cannot reach the
-// store.
+// other entries, accepts the member rows of agents that cannot reach the
+// store, and cancels jobs about which other entries ask.
 func (d *Dispatcher) DirectoryHandler() http.Handler {
 	e := echo.New()
 	e.GET(directory.Path, func(c echo.Context) error {
@@ -119,6 +119,7 @@
 		d.mergeMembers([]directory.Member{m}, "announced by itself")
 		return c.NoContent(http.StatusOK)
 	})
+	e.POST(CancelPath, d.handleCancel)
 	return e
 }
 
--- a/host/path_test.go
+++ b/host/path_test.go
@@ -383,6 +383,38 @@
 	d.Assert(got.body, qt.Equals, completed)
 }
 
+// Guards against a caller whose request to cancel a job broke off and who is told by another
+// entry that there is no such job, while the job runs on. An entry that has ended without
+// removing its row must not make the caller wait.
+func TestJobIsCancelledAtAnotherEntry(t *testing.T) {
+	d := newDeployment(t)
+	first := d.startEntry("e1")
+	second := d.startEntry("e2")
+	third := d.startEntry("e3")
+	a := d.startAgent("a1", 1)
+	for _, e := range []*testProcess{first, second, third} {
+		d.waitUntilServing(e)
+	}
+	third.stop()
+	answer := make(chan response, 1)
+	go func() {
+		answer <- first.request(context.Background(), "POST", "/jobs/"+jobID(1), jobBody(2, site.Spec{WorkMS: 2000, MilliCPU: 4000}))
+	}()
+	d.eventually("both tasks run", time.Second, func() bool { return a.worker.Running() == 2 })
+	for _, e := range []*testProcess{second, first, second} {
+		got := e.request(context.Background(), "DELETE", "/jobs/"+jobID(1), "")
+		d.Assert(got.err, qt.IsNil)
+		d.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+		d.Assert(got.body, qt.Contains, `{"state":"cancelled"}`)
+		d.Assert(got.took < 3*time.Second, qt.IsTrue, qt.Commentf("took %v", got.took))
+	}
+	d.eventually("both tasks are stopped", 300*time.Millisecond, func() bool { return a.worker.Running() == 0 })
+	d.Assert((<-answer).status, qt.Equals, http.StatusGatewayTimeout)
+	got := second.request(context.Background(), "DELETE", "/jobs/"+jobID(2), "")
+	d.Assert(got.status, qt.Equals, http.StatusGone)
+	d.Assert(got.took < 3*time.Second, qt.IsTrue, qt.Commentf("took %v", got.took))
+}
+
 // Guards against a check of the settings that stops at the first error, and against
 // starting without a settings file.
 func TestAllSettingsErrorsAreReported(t *testing.T) {
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -26,6 +26,9 @@
 	// Contact is how long after the store answers again a process may take to have its
 	// changes; 0 means DefaultContact.
 	Contact time.Duration
+	// Cancel is the time in which a cancelled job must have been ended wherever it runs; 0
+	// means DefaultCancel.
+	Cancel time.Duration
 }
 
 // Timings are the intervals and timeouts that entries and agents use.
@@ -50,11 +53,18 @@
 	// StoreAttemptInterval is the longest time between two attempts to read the changes of
 	// the store, however many earlier ones are unanswered.
 	StoreAttemptInterval time.Duration
+	// CancelTimeout is how long after a request to cancel a job an entry has asked the other
+	// entries about it. With bounds of some seconds, agents have stopped the runs of an entry
+	// that hasn't answered by then, unless only its connection to this one is lost.
+	CancelTimeout time.Duration
 }
 
 // DefaultContact is the value of Bounds.Contact where the settings name none.
 const DefaultContact = 3 * time.Second
 
+// DefaultCancel is the value of Bounds.Cancel where the settings name none.
+const DefaultCancel = 3 * time.Second
+
 const (
 	// contactReserve is the part of Bounds.Contact that is left for the connection, the reply
 	// and its use, on a host with a tenth of a core; half of the bound where that is less.
@@ -107,6 +117,8 @@
 	t.PingInterval = t.SilenceTimeout / 4
 	t.ReconnectGrace = min(maxReconnectGrace, t.SilenceTimeout/2)
 	t.RestartDelay = max(time.Duration(float64(t.Lease)*(1+clockDrift)), t.SilenceTimeout) + b.MaxStopTime + 2*maxSchedulingDelay
+	// A quarter is left for the answer to the caller, on a host with a tenth of a core.
+	t.CancelTimeout = cmp.Or(b.Cancel, DefaultCancel) * 3 / 4
 	contact := cmp.Or(b.Contact, DefaultContact)
 	t.StoreAttemptInterval = max(min(max(contact-contactReserve, contact/2), maxStoreAttemptInterval), minStoreAttemptInterval)
 	t.MaxSuspension = max(t.SilenceTimeout, budget-4*maxSchedulingDelay)
--- a/timing/timing_test.go
+++ b/timing/timing_test.go
@@ -35,3 +35,18 @@
 	_, err := Derive(Bounds{MaxLease: time.Second, MaxStopTime: 200 * time.Millisecond, ResendAfter: 400 * time.Millisecond})
 	qt.Assert(t, err, qt.ErrorMatches, "no safe timings for the platform bounds: max lease 1s, stop time 200ms, resend after 400ms")
 }
+
+// Guards against waits for the store and for other entries that leave no time, within the
+// bounds of the platform, to use what they brought.
+func TestWaitsLeaveTimeWithinTheirBounds(t *testing.T) {
+	for _, bound := range []time.Duration{0, 3 * time.Second, 4 * time.Second, 6 * time.Second} {
+		c := qt.New(t)
+		b := Bounds{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond, ResendAfter: 1300 * time.Millisecond, Contact: bound, Cancel: bound}
+		got, err := Derive(b)
+		c.Assert(err, qt.IsNil)
+		limit := max(bound, 3*time.Second)
+		c.Check(got.StoreAttemptInterval <= limit-contactReserve, qt.IsTrue)
+		c.Check(got.CancelTimeout <= limit*3/4, qt.IsTrue)
+		c.Check(got.CancelTimeout > got.SilenceTimeout+b.MaxStopTime+2*maxSchedulingDelay, qt.IsTrue)
+	}
+}
