soak: Cancel jobs at entries that don't run them

Callers cancel a job every 150 ms at another entry than the one that got it, and ask the next one if there is no answer. A task that runs 2 s after the answer 200 is a violation; tasks that run 2 s after 410 are counted and printed, since that is allowed while two entries can't reach each other.

--- a/cmd/sesamelift-soak/main.go
+++ b/cmd/sesamelift-soak/main.go
@@ -29,6 +29,7 @@
 	lifeRate := flags.Float64("life-faults", 1, "faults in which one life of a process meets the next, injected per second")
 	hostRate := flags.Float64("host-faults", 0.7, "faults that slow down or cut off a host, or overlap on it, injected per second")
 	evacuate := flags.Bool("evacuate", true, "have a zone evacuated in each run, which makes it 6 s longer")
+	cancel := flags.Bool("cancel", true, "have callers cancel jobs at entries that don't run them")
 	_ = ff.Parse(flags, os.Args[1:])
 	seedQueue := make(chan uint64, *seeds)
 	if *singleSeed != 0 {
@@ -47,7 +48,7 @@
 			for seed := range seedQueue {
 				var out bytes.Buffer
 				violations, err := soak.Run(soak.Options{
-					Seed: seed, Programs: *programs, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Entries: *entries, Agents: *agents, FaultsPerSecond: *rate, LifeFaultsPerSecond: *lifeRate, HostFaultsPerSecond: *hostRate, EvacuateZone: *evacuate, Out: &out,
+					Seed: seed, Programs: *programs, Dir: filepath.Join(*dir, fmt.Sprint(seed)), Entries: *entries, Agents: *agents, FaultsPerSecond: *rate, LifeFaultsPerSecond: *lifeRate, HostFaultsPerSecond: *hostRate, EvacuateZone: *evacuate, Cancel: *cancel, Out: &out,
 				})
 				if err != nil {
 					violations = append(violations, err.Error())
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,8 @@
 	Out io.Writer
 	// EvacuateZone has one of two zones evacuated for longer than evacuationBound.
 	EvacuateZone bool
+	// Cancel has callers cancel jobs at entries that don't run them.
+	Cancel bool
 	// completed and sent count the jobs of the run.
 	completed, sent int
 }
@@ -90,6 +92,9 @@
 	if o.EvacuateZone {
 		wg.Go(func() { evacuated = d.evacuateZone(&o, rand.New(rand.NewPCG(o.Seed, 5))) })
 	}
+	if o.Cancel {
+		wg.Go(func() { d.cancelJobs(&o, rand.New(rand.NewPCG(o.Seed, 6))) })
+	}
 	d.sendJobs(&o)
 	wg.Wait()
 	if !d.waitAllServing(recoveryTimeout) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,12 +19,14 @@
 	// lifeFaults is the rate of lifeFaults per second; the earlier seeds had none.
 	lifeFaults float64
 	evacuate   bool
+	cancel     bool
 	cause      string
 }{
-	{598297906, 0, false, "a job was refused as not run while its start request was in transit to a paused agent (dispatch.TestJobWithOrderedStartIsNotReportedAsNotRun)"},
-	{709804017, 1, false, "heartbeats of other writers, leaves and restarts made the agent give up runs that went on (host.TestHeartbeatOfAnotherWriter, host.TestTasksOfALeavingWorkerDontOverlap, runner.TestStartCallThatReachesARestartedWorker)"},
-	{1, 0, false, "no failure known; fixed baseline seed"},
-	{2, 1, true, "no failure known; a zone is evacuated"},
+	{598297906, 0, false, false, "a job was refused as not run while its start request was in transit to a paused agent (dispatch.TestJobWithOrderedStartIsNotReportedAsNotRun)"},
+	{709804017, 1, false, false, "heartbeats of other writers, leaves and restarts made the agent give up runs that went on (host.TestHeartbeatOfAnotherWriter, host.TestTasksOfALeavingWorkerDontOverlap, runner.TestStartCallThatReachesARestartedWorker)"},
+	{1, 0, false, false, "no failure known; fixed baseline seed"},
+	{2, 1, true, false, "no failure known; a zone is evacuated"},
+	{3, 1, false, true, "no failure known; jobs are cancelled at entries that don't run them"},
 }
 
 // buildPrograms builds the entry and the agent and returns the directory of the executables.
@@ -68,7 +70,7 @@
 				_ = os.RemoveAll(dir)
 			})
 			violations, err := Run(Options{
-				Seed: r.seed, Programs: programs, Dir: dir, Entries: 2, Agents: 3, FaultsPerSecond: 1.5, LifeFaultsPerSecond: r.lifeFaults, EvacuateZone: r.evacuate, Out: &log,
+				Seed: r.seed, Programs: programs, Dir: dir, Entries: 2, Agents: 3, FaultsPerSecond: 1.5, LifeFaultsPerSecond: r.lifeFaults, EvacuateZone: r.evacuate, Cancel: r.cancel, Out: &log,
 			})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, violations, qt.HasLen, 0, qt.Commentf("%s%s", r.cause, log.String()))
--- a/standin/site/audit.go
+++ b/standin/site/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -121,6 +122,19 @@
 	return a.lastStart[zone]
 }
 
+// Running returns the number of tasks of a job that run.
+func (a *Audit) Running(job string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for task := range a.running {
+		if strings.HasPrefix(task, job) {
+			n++
+		}
+	}
+	return n
+}
+
 // Starts returns the number of task starts of a job. The ID of a task begins with
 // that of its job.
 func (a *Audit) Starts(job string) int {
