dispatch: Refuse waiting jobs early that can't end by their cutoff

A waiting job of which nothing had run was refused only when the fastest worker could no longer end it by its cutoff. Its caller waited all that time, although the work ahead of the job showed long before that it would not be served.

Such a job is now refused on a tick if the work that is served before it would take until its cutoff even at twice the present rate (Policy.RateMargin).

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -354,6 +354,7 @@
 	for _, j := range s.sortedJobs() {
 		s.tickJob(now, j)
 	}
+	s.refuseHopeless(now)
 	s.logPairs(s.pairs.Expire(now))
 	s.checkZones(now)
 	s.placementDue = true
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -18,6 +18,8 @@
 func (s *Scheduler) Snapshot(id string) *Snapshot {
 	c := *s
 	c.onCandidate, c.onPick, c.byActivation = nil, nil, nil
+	// Only Tick reads the rates.
+	c.rates = nil
 	// Decisions don't read the pending actions but the commands.
 	c.pending = Actions{}
 	// Nor do they read the sums of pairs, of which there can be thousands.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -190,6 +190,10 @@
 	// a worker changes.
 	maxSpeeds  map[string]float64
 	evacuation evacuation
+	// rates holds the rate of each service that has waiting jobs. hopelessRefusals counts the
+	// jobs that were refused because of it.
+	rates            map[string]*rate
+	hopelessRefusals int64
 	// onCandidate, if set, is called with each worker that is considered for a task, and
 	// onPick after the choice of a worker, before the start; w is nil if the task waits.
 	onCandidate func(t *task, c candidate)
@@ -217,6 +221,7 @@
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
 		pairs:      interference.NewPool(),
+		rates:      map[string]*rate{},
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
@@ -266,13 +271,17 @@
 	// LeaveMoves counts the tasks that were moved from workers which announced when they
 	// leave, LeaveLosses those whose attempt ended with such a worker.
 	LeaveMoves, LeaveLosses int64
+	// HopelessRefusals counts the jobs that were refused before their cutoff because they
+	// could not end by then at the present rate.
+	HopelessRefusals int64
 }
 
 // Stats returns the present state.
 func (s *Scheduler) Stats() Stats {
 	stats := Stats{
 		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
-		EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
+		HopelessRefusals: s.hopelessRefusals,
+		EvacuatedZones:   len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
 		InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges,
 	}
 	for _, w := range s.workersByName {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -144,6 +144,10 @@
 	// entry to start. Many such jobs arrive at once, just before those that can be on
 	// time, which need about this share.
 	LateArrivalFreeShare float64
+	// RateMargin is the multiple of the present rate at which the work ahead of a job must be
+	// too much for it to end before its cutoff, before it is refused for that. The rate grows
+	// when other entries have less to do.
+	RateMargin float64
 	// UrgentReserveShare is the share of the capacity that is reserved for urgent
 	// jobs. It is not divided among entries, since each one sees the capacity of all
 	// workers.
@@ -174,6 +178,7 @@
 	OnTrackSlackShare:    0.5,
 	LateJobReserveShare:  0.07,
 	LateArrivalFreeShare: 0.5,
+	RateMargin:           2,
 	// 3.2 cores, or about one task, for every two workers of 32 cores.
 	UrgentReserveShare: 0.05,
 	ActiveHeadroom:     4,
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -26,7 +26,7 @@
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
 	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	evacuatedZones                                          tally.Gauge
-	evacuationRefusals                                      tally.Counter
+	evacuationRefusals, hopelessRefusals                    tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
@@ -53,7 +53,8 @@
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
-		leaveMoves: scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
+		hopelessRefusals: scope.Counter("jobs_refused_before_cutoff_total"),
+		leaveMoves:       scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
 		otherAnswers: scope.Tagged(map[string]string{"reason": "other"}).Counter("jobs_answered_total"),
@@ -80,6 +81,7 @@
 	m.startsRefused.Inc(s.RefusedStarts - last.RefusedStarts)
 	m.leaveMoves.Inc(s.LeaveMoves - last.LeaveMoves)
 	m.leaveLosses.Inc(s.LeaveLosses - last.LeaveLosses)
+	m.hopelessRefusals.Inc(s.HopelessRefusals - last.HopelessRefusals)
 	m.evacuatedZones.Update(float64(s.EvacuatedZones))
 	m.evacuationRefusals.Inc(s.EvacuationRefusals - last.EvacuationRefusals)
 }
