dispatch: Place late jobs on workers too slow for jobs on time

While some workers are slow and the others are full, late jobs were refused beside idle workers: jobs that can be on time decline the slow ones, and late jobs had to leave a share of the whole capacity free.

A worker is now spare while its speed is below what any active queue needs to be on time. A late job of which nothing has started is placed there, if all of its tasks find room, end before its cutoff and leave the reserve for urgent jobs. A job that can't be on time any more is accepted instead of refused if it can start in this way. explain shows the decision.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -160,6 +160,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
+	clear(s.spareWorkers)
 	clear(s.evacuation.runnableUntil)
 	s.placementDue = true
 }
@@ -329,6 +330,9 @@
 	if float64(remaining) < s.opts.Policy.MinMoveGain*float64(otherRunTime)+float64(moveCost) || now+otherRunTime+moveCost > t.job.cutoff {
 		return
 	}
+	if s.staysOnSpare(now, t, remaining, otherRunTime) {
+		return
+	}
 	s.log(decisions.Info("task moved", "job", t.id.Job, "task", t.describe(), "from", t.worker.name, "to", other.name,
 		"percent", t.percent, "remaining_ms", remaining.Milliseconds(), "elsewhere_ms", otherRunTime.Milliseconds(),
 		"speed", t.worker.speed, "other_speed", other.speed))
@@ -351,8 +355,12 @@
 // Tick handles everything that depends on time: deadlines, lost attempts, and
 // stops without an answer.
 func (s *Scheduler) Tick(now time.Duration) {
+	// The active queues change with time.
+	clear(s.spareSpeeds)
+	clear(s.spareWorkers)
+	plan := s.newSparePlan()
 	for _, j := range s.sortedJobs() {
-		s.tickJob(now, j)
+		s.tickJob(now, j, plan)
 	}
 	s.refuseHopeless(now)
 	s.logPairs(s.pairs.Expire(now))
@@ -367,7 +375,7 @@
 	})
 }
 
-func (s *Scheduler) tickJob(now time.Duration, j *job) {
+func (s *Scheduler) tickJob(now time.Duration, j *job, plan *sparePlan) {
 	if now >= j.Deadline-answerMargin {
 		s.abort(now, j, "the deadline has passed")
 		return
@@ -402,7 +410,7 @@
 	if !j.started {
 		limit = j.cutoff
 	}
-	if !j.started && s.classify(now, j) == late && s.onTimeJobsLackCapacity(now, j.Service) {
+	if !j.started && s.classify(now, j) == late && s.onTimeJobsLackCapacity(now, j.Service) && plan.assign(now, j) == nil {
 		// The capacity goes to jobs that can be on time; this caller is better served
 		// by submitting the job again later.
 		s.abort(now, j, "no worker had room in time, and others wait")
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -190,6 +190,9 @@
 		if j.hasReadyTasks() {
 			e.Decision = Waits
 		}
+		if j.expectedLate {
+			e.Class, e.Capacity.RequiredFreeShare = "late", s.requiredFreeShare(now, j, late)
+		}
 	}
 	if verdict != nil {
 		e.Reason, e.Message, e.RetryAfterMS = verdict.Reason, verdict.Message, verdict.RetryAfter.Milliseconds()
@@ -293,6 +296,8 @@
 		if considered, ok := costs[w]; ok {
 			r.cost, r.excluded = considered, ""
 			fitting++
+		} else if r.excluded == "" && chosen != nil && t.job.spare {
+			r.excluded = "kept for jobs on time, or too slow for the cutoff"
 		} else if r.excluded == "" {
 			r.excluded = "not considered"
 		}
@@ -315,6 +320,8 @@
 	}
 	cheaper := slices.IndexFunc(all, func(r ranked) bool { return r.excluded == "" && r.cost < all[0].cost })
 	switch {
+	case chosen != nil && t.job.spare && !t.job.started:
+		view.Rule = "late job, on a worker that is too slow for jobs on time"
 	case chosen != nil && cheaper >= 0 && s.keepsApart(t.job.Service) && s.predictRunTime(t, all[cheaper].w) > t.job.dueAt-now:
 		view.Rule = "lowest cost of those in time, with no regard to kinds that slow each other down"
 	case chosen != nil && cheaper >= 0:
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -265,7 +265,7 @@
 // although the events of the test above don't set it.
 func TestSnapshotKnowsAllReferences(t *testing.T) {
 	known := map[reflect.Type]string{
-		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation rates onCandidate onPick",
+		reflect.TypeFor[Scheduler](): "jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation rates queues spareSpeeds spareWorkers onCandidate onPick",
 		reflect.TypeFor[worker]():    "state tasks running",
 		reflect.TypeFor[job]():       "Job tasks unfinished",
 		// The steps and the spec of a job don't change.
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -129,15 +129,21 @@
 	h.Assert(h.s.Stats().HopelessRefusals, qt.Equals, int64(len(h.answers)))
 }
 
-// Load: 2,000 jobs wait at an entry that sees 160 full workers.
+// Load: 2,000 jobs wait at an entry that sees 160 full workers, a third of which are slow. All
+// of the jobs are late in the second case.
 func BenchmarkTickWithFullQueue(b *testing.B) {
+	b.Run("on_time", func(b *testing.B) { benchmarkTick(b, 2*ratePeriod) })
+	b.Run("late", func(b *testing.B) { benchmarkTick(b, 30*time.Second) })
+}
+
+func benchmarkTick(b *testing.B, wait time.Duration) {
 	s := New(Options{RestartDelay: time.Second, RackSlowdown: 1.5, MaxWaitingJobs: 2000, StartedAt: time.Hour})
 	now := time.Hour
 	for i := range 160 {
 		name := fmt.Sprint("w", i)
 		s.AgentConnected(now, name)
 		s.AgentReported(now, name, &link.Report{
-			Accepting: true, Speed: 1, Worker: &link.WorkerState{ID: name, Service: "service", Capacity: link.Resources{MilliCPU: 16000, MemoryMB: 1 << 20}},
+			Accepting: true, Speed: []float32{1, 1, 0.002}[i%3], Worker: &link.WorkerState{ID: name, Service: "service", Capacity: link.Resources{MilliCPU: 16000, MemoryMB: 1 << 20}},
 			Free: link.Resources{MilliCPU: 4000, MemoryMB: 1 << 20},
 		})
 	}
@@ -149,7 +155,7 @@
 	}
 	s.TakeActions(now)
 	s.Tick(now)
-	now += 2 * ratePeriod
+	now += wait
 	for b.Loop() {
 		now += time.Microsecond
 		s.Tick(now)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -37,14 +37,14 @@
 	if v := s.refuseEvacuated(now, j); v != nil {
 		return v
 	}
-	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) {
+	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) && !s.acceptLate(now, j) {
 		return s.overloadVerdict(minRetryAfter, "too late to be on time, and jobs that can be need the capacity")
 	}
 	if len(s.waiting) == 0 || now-s.opts.StartedAt < warmUpPeriod || s.hasReserve(now, j.Service) {
 		return nil
 	}
 	wait := s.expectedWait(now, j)
-	if now+wait+s.minRunTime(j) > j.dueAt {
+	if now+wait+s.minRunTime(j) > j.dueAt && !s.acceptLate(now, j) {
 		return s.overloadVerdict(wait, "the queue is too long to answer in time")
 	}
 	return nil
@@ -177,7 +177,7 @@
 	waited := j.Waited + now - j.ReceivedAt
 	slack := j.dueAt - now + waited - runTime
 	switch {
-	case waited > slack:
+	case waited > slack, j.expectedLate:
 		return late
 	case j.Priority == highestPriority:
 		return urgent
@@ -199,6 +199,7 @@
 		groups[class] = append(groups[class], j)
 	}
 	freeShares := map[string]float64{}
+	plan := s.newSparePlan()
 	for class, group := range groups {
 		misses := 0
 		for _, j := range group {
@@ -208,6 +209,9 @@
 				freeShares[j.Service] = share
 			}
 			if share < s.requiredFreeShare(now, j, jobClass(class)) {
+				if jobClass(class) == late && s.placeSpare(now, plan, j) {
+					delete(freeShares, j.Service)
+				}
 				continue
 			}
 			if s.placeReady(now, j) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -97,6 +97,9 @@
 	notBefore time.Duration
 	// started says whether an attempt is known to have started.
 	started bool
+	// expectedLate says that the job was accepted as a late one, spare that it was placed on
+	// spare workers.
+	expectedLate, spare bool
 	// inDoubt says that an attempt may have run without a report of it.
 	inDoubt bool
 }
@@ -194,6 +197,13 @@
 	// jobs that were refused because of it.
 	rates            map[string]*rate
 	hopelessRefusals int64
+	// queues holds the queues that are or were active. spareSpeeds and spareWorkers cache
+	// the results of spareSpeed and spareOf.
+	queues       map[queueKey]queueActivity
+	spareSpeeds  map[string]float64
+	spareWorkers map[string][]*worker
+	// spareJobs counts the jobs that were placed on spare workers.
+	spareJobs int64
 	// onCandidate, if set, is called with each worker that is considered for a task, and
 	// onPick after the choice of a worker, before the start; w is nil if the task waits.
 	onCandidate func(t *task, c candidate)
@@ -220,8 +230,9 @@
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
-		pairs:      interference.NewPool(),
-		rates:      map[string]*rate{},
+		pairs:  interference.NewPool(),
+		rates:  map[string]*rate{},
+		queues: map[queueKey]queueActivity{}, spareSpeeds: map[string]float64{}, spareWorkers: map[string][]*worker{},
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
@@ -274,6 +285,8 @@
 	// HopelessRefusals counts the jobs that were refused before their cutoff because they
 	// could not end by then at the present rate.
 	HopelessRefusals int64
+	// SpareJobs counts the late jobs that were placed on workers too slow for jobs on time.
+	SpareJobs int64
 }
 
 // Stats returns the present state.
@@ -281,6 +294,7 @@
 	stats := Stats{
 		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
 		HopelessRefusals: s.hopelessRefusals,
+		SpareJobs:        s.spareJobs,
 		EvacuatedZones:   len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
 		InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges,
 	}
@@ -365,6 +379,7 @@
 	if j.Priority == highestPriority {
 		s.lastUrgent[j.Service] = now
 	}
+	s.noteQueue(now, j)
 	if v := s.admit(now, j); v != nil {
 		s.log(decisions.Info("job refused", "job", j.ID, "queue", j.Queue, "reason", v.Message,
 			"waiting_jobs", len(s.waiting), "retry_after_ms", v.RetryAfter.Milliseconds(),
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -148,6 +148,9 @@
 	// too much for it to end before its cutoff, before it is refused for that. The rate grows
 	// when other entries have less to do.
 	RateMargin float64
+	// SpareSpeedShare is the share of the lowest speed at which jobs of the active queues can
+	// be on time below which the capacity of a worker goes to late jobs; 0 keeps it from them.
+	SpareSpeedShare float64
 	// UrgentReserveShare is the share of the capacity that is reserved for urgent
 	// jobs. It is not divided among entries, since each one sees the capacity of all
 	// workers.
@@ -179,6 +182,8 @@
 	LateJobReserveShare:  0.07,
 	LateArrivalFreeShare: 0.5,
 	RateMargin:           2,
+	// The noise of learnt speeds, as for LoadWeight.
+	SpareSpeedShare: 0.88,
 	// 3.2 cores, or about one task, for every two workers of 32 cores.
 	UrgentReserveShare: 0.05,
 	ActiveHeadroom:     4,
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -26,7 +26,7 @@
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
 	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	evacuatedZones                                          tally.Gauge
-	evacuationRefusals, hopelessRefusals                    tally.Counter
+	evacuationRefusals, hopelessRefusals, spareJobs         tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
 	// eventWait is the time between the posting of an event and its handling.
@@ -54,6 +54,7 @@
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
 		hopelessRefusals: scope.Counter("jobs_refused_before_cutoff_total"),
+		spareJobs:        scope.Counter("jobs_placed_late_total"),
 		leaveMoves:       scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		eventWait: scope.Histogram("event_wait_seconds", waitBuckets),
 		latency:   map[api.Outcome]tally.Histogram{}, answers: map[api.Reason]tally.Counter{},
@@ -82,6 +83,7 @@
 	m.leaveMoves.Inc(s.LeaveMoves - last.LeaveMoves)
 	m.leaveLosses.Inc(s.LeaveLosses - last.LeaveLosses)
 	m.hopelessRefusals.Inc(s.HopelessRefusals - last.HopelessRefusals)
+	m.spareJobs.Inc(s.SpareJobs - last.SpareJobs)
 	m.evacuatedZones.Update(float64(s.EvacuatedZones))
 	m.evacuationRefusals.Inc(s.EvacuationRefusals - last.EvacuationRefusals)
 }
