--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -164,6 +164,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
+	clear(s.spareWorkers)
 	clear(s.evacuation.runnableUntil)
 	s.placementDue = true
 }
@@ -333,6 +334,9 @@
 	if float64(remaining) < s.opts.Policy.MinMoveGain*float64(otherRunTime)+float64(moveCost) || now+otherRunTime+moveCost > t.job.cutoff {
 		return
 	}
+	if s.staysOnSpare(now, t, remaining, otherRunTime) {
+		return
+	}
 	s.log(decisions.Info("task moved", "job", t.id.Job, "task", t.describe(), "from", t.worker.name, "to", other.name,
 		"percent", t.percent, "remaining_ms", remaining.Milliseconds(), "elsewhere_ms", otherRunTime.Milliseconds(),
 		"speed", t.worker.speed, "other_speed", other.speed))
@@ -355,9 +359,14 @@
 // Tick handles everything that depends on time: deadlines, lost attempts, and
 // stops without an answer.
 func (s *Scheduler) Tick(now time.Duration) {
+	// The active queues change with time.
+	clear(s.spareSpeeds)
+	clear(s.spareWorkers)
+	state := tickState{plan: s.newSparePlan(), lacking: map[string]*job{}, waits: map[string]time.Duration{}}
 	for _, j := range s.sortedJobs() {
-		s.tickJob(now, j)
+		s.tickJob(now, j, &state)
 	}
+	s.refuseHopeless(now)
 	s.logPairs(s.pairs.Expire(now))
 	s.checkZones(now)
 	s.placementDue = true
@@ -370,7 +379,7 @@
 	})
 }
 
-func (s *Scheduler) tickJob(now time.Duration, j *job) {
+func (s *Scheduler) tickJob(now time.Duration, j *job, state *tickState) {
 	if now >= j.Deadline-answerMargin {
 		s.abort(now, j, "the deadline has passed")
 		return
@@ -405,10 +414,10 @@
 	if !j.started {
 		limit = j.cutoff
 	}
-	if !j.started && s.classify(now, j) == late && s.onTimeJobsLackCapacity(now, j.Service) {
+	if !j.started && s.classify(now, j) == late && state.lacksCapacity(s, now, j.Service) && state.plan.assign(now, j) == nil {
 		// The capacity goes to jobs that can be on time; this caller is better served
 		// by submitting the job again later.
-		s.abort(now, j, "no worker had room in time, and others wait")
+		s.abortAfter(now, j, "no worker had room in time, and others wait", func() time.Duration { return state.waitWhileLate(s, now, j) })
 		return
 	}
 	if now+s.minRunTime(j) > limit {
@@ -419,11 +428,16 @@
 // abort ends a job that can no longer be completed in time. The job is refused if
 // none of its tasks can have run, and fails otherwise.
 func (s *Scheduler) abort(now time.Duration, j *job, message string) {
+	s.abortAfter(now, j, message, func() time.Duration { return s.expectedWait(now, j) })
+}
+
+// abortAfter does the same as abort, with a hint when to retry.
+func (s *Scheduler) abortAfter(now time.Duration, j *job, message string, wait func() time.Duration) {
 	if ran := j.ranStatus(); ran != api.RanNo {
 		s.finish(now, j, api.Fail(ran, api.ReasonDeadlineExceeded, message))
 		return
 	}
-	s.finish(now, j, s.overloadVerdict(s.expectedWait(now, j), message))
+	s.finish(now, j, s.overloadVerdict(wait(), message))
 }
 
 // ProcessSuspended records that the process did not run for the duration gap.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -38,14 +38,14 @@
 	if v := s.refuseEvacuated(now, j); v != nil {
 		return v
 	}
-	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) {
+	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) && !s.acceptLate(now, j) {
 		return s.overloadVerdict(minRetryAfter, "too late to be on time, and jobs that can be need the capacity")
 	}
 	if len(s.waiting) == 0 || now-s.opts.StartedAt < warmUpPeriod || s.hasReserve(now, j.Service) {
 		return nil
 	}
 	wait := s.expectedWait(now, j)
-	if now+wait+s.minRunTime(j) > j.dueAt {
+	if now+wait+s.minRunTime(j) > j.dueAt && !s.acceptLate(now, j) {
 		return s.overloadVerdict(wait, "the queue is too long to answer in time")
 	}
 	return nil
@@ -178,7 +178,7 @@
 	waited := j.Waited + now - j.ReceivedAt
 	slack := j.dueAt - now + waited - runTime
 	switch {
-	case waited > slack:
+	case waited > slack, j.expectedLate:
 		return late
 	case j.Priority == highestPriority:
 		return urgent
@@ -200,6 +200,7 @@
 		groups[class] = append(groups[class], j)
 	}
 	freeShares := map[string]float64{}
+	plan := s.newSparePlan()
 	for class, group := range groups {
 		misses := 0
 		for _, j := range group {
@@ -209,6 +210,9 @@
 				freeShares[j.Service] = share
 			}
 			if share < s.requiredFreeShare(now, j, jobClass(class)) {
+				if jobClass(class) == late && s.placeSpare(now, plan, j) {
+					delete(freeShares, j.Service)
+				}
 				continue
 			}
 			if s.placeReady(now, j) {
@@ -245,15 +249,19 @@
 	return 0
 }
 
-// onTimeJobsLackCapacity reports whether capacity is short while jobs wait that can
-// still be on time. It returns false during the warm-up, and while workers are becoming
-// active.
-func (s *Scheduler) onTimeJobsLackCapacity(now time.Duration, service string) bool {
+// onTimeJobLacksCapacity returns a waiting job that can still be on time while capacity is
+// short, nil if there is none. It returns nil during the warm-up, and while workers are
+// becoming active.
+func (s *Scheduler) onTimeJobLacksCapacity(now time.Duration, service string) *job {
 	required := s.urgentReserve(now, service) + s.opts.Policy.LateJobReserveShare
 	if now-s.opts.StartedAt < warmUpPeriod || s.freeShare(service) >= required || s.hasReserve(now, service) {
-		return false
+		return nil
+	}
+	index := slices.IndexFunc(s.waiting, func(j *job) bool { return j.Service == service && s.classify(now, j) != late })
+	if index < 0 {
+		return nil
 	}
-	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.Service == service && s.classify(now, j) != late })
+	return s.waiting[index]
 }
 
 // freeShare returns the free share of the CPU capacity of a service's usable
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -18,11 +18,14 @@
 func (s *Scheduler) Snapshot(id string) *Snapshot {
 	c := *s
 	c.onCandidate, c.onPick, c.byActivation = nil, nil, nil
+	// Only Tick reads the rates.
+	c.rates = nil
 	// Decisions don't read the pending actions but the commands.
 	c.pending = Actions{}
 	// Nor do they read the sums of pairs, of which there can be thousands.
 	c.pairs = s.pairs.CountedOnly()
 	c.firstSubmissions, c.lastUrgent, c.maxSpeeds = maps.Clone(s.firstSubmissions), maps.Clone(s.lastUrgent), maps.Clone(s.maxSpeeds)
+	c.queues, c.spareSpeeds, c.spareWorkers = maps.Clone(s.queues), maps.Clone(s.spareSpeeds), map[string][]*worker{}
 	c.evacuation.since, c.evacuation.unchecked = maps.Clone(s.evacuation.since), maps.Clone(s.evacuation.unchecked)
 	c.evacuation.runnableUntil = maps.Clone(s.evacuation.runnableUntil)
 	c.cachedAnswers, c.cacheOrder = entryOf(s.cachedAnswers, id)
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -26,7 +26,7 @@
 	jobs, waitingJobs, workersConnected, workersActive, lag tally.Gauge
 	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	evacuatedZones                                          tally.Gauge
-	evacuationRefusals                                      tally.Counter
+	evacuationRefusals, hopelessRefusals, spareJobs         tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
 	membersRefused                                          tally.Counter
@@ -55,8 +55,10 @@
 		lag: scope.Gauge("event_loop_lag_seconds"), startsRefused: scope.Counter("task_starts_refused_total"),
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
-		membersRefused: scope.Counter("members_refused_total"),
-		leaveMoves:     scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
+		hopelessRefusals: scope.Counter("jobs_refused_before_cutoff_total"),
+		spareJobs:        scope.Counter("jobs_placed_late_total"),
+		membersRefused:   scope.Counter("members_refused_total"),
+		leaveMoves:       scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		cancelInquiries: scope.Counter("cancel_inquiries_total"), cancelRequests: scope.Counter("cancel_requests_total"),
 		cancelsUnresolved: scope.Counter("cancels_unresolved_total"),
 		eventWait:         scope.Histogram("event_wait_seconds", waitBuckets),
@@ -85,6 +87,8 @@
 	m.startsRefused.Inc(s.RefusedStarts - last.RefusedStarts)
 	m.leaveMoves.Inc(s.LeaveMoves - last.LeaveMoves)
 	m.leaveLosses.Inc(s.LeaveLosses - last.LeaveLosses)
+	m.hopelessRefusals.Inc(s.HopelessRefusals - last.HopelessRefusals)
+	m.spareJobs.Inc(s.SpareJobs - last.SpareJobs)
 	m.evacuatedZones.Update(float64(s.EvacuatedZones))
 	m.evacuationRefusals.Inc(s.EvacuationRefusals - last.EvacuationRefusals)
 }
