Count the deadline of a job from the head of its request

The deadline of a job counted from when its body had been decoded, at both interfaces, so that the time for which an entry puts off reading a large body (intake.Conn.awaitTurn, the wait for a place to decode) was added to it. Such a job was accepted for a caller that had stopped waiting.

The deadline now counts from the head. Left out is only the time in which reads of the body waited for bytes that the client had not sent (intake.Awaited). A job that is read after its deadline is refused with "not run" before anything is queued. Submit of the own interface gets the age of the request.

TestDeadlineCountsFromTheHead fails before with an age of 0 after a pause of 300 ms. TestAgeCountsTowardsTheDeadline fails if the age is ignored (deadline_exceeded instead of deadline_past, after 5 s).

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -46,8 +46,9 @@
 	Service string
 	Spec    string
 	Steps   []Step
-	// ReceivedAt is when the entry finished reading the job, and Deadline is when
-	// the caller stops waiting. Both are times of package clock.
+	// ReceivedAt is when the head of the job's request arrived, later by the time in which
+	// the entry waited for bytes that the caller had not sent, and Deadline is when the
+	// caller stops waiting. Both are times of package clock.
 	ReceivedAt time.Duration
 	Deadline   time.Duration
 	// Waited is the least time that the caller has waited before ReceivedAt, since it
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -455,7 +455,7 @@
 	a.connect(n, "")
 	key := newKey(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	go n.Submit(ctx, key, job(2), true)
+	go n.Submit(ctx, key, job(2), 0, true)
 	a.waitHeld(2)
 	cancel()
 	n.stop()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -255,6 +255,20 @@
 	}
 }
 
+// Guards against a job whose body was read so late that its deadline has passed, and which
+// runs nevertheless.
+func TestAgeCountsTowardsTheDeadline(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.start("e1")
+	a := c.newAgent("w1", 11, nil)
+	a.connect(n, "")
+	s := job(1)
+	s.DeadlineMS = 5000
+	got := n.Submit(context.Background(), newKey(t), s, 6*time.Second, true)
+	qt.Assert(t, []any{got.Reason, got.Ran}, qt.DeepEquals, []any{api.ReasonDeadlinePast, api.RanNo})
+}
+
 // Guards against a job that runs twice because its caller submitted it twice,
 // and against teams that see each other's jobs.
 func TestRepeatedSubmission(t *testing.T) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -73,14 +73,14 @@
 }
 
 // Submit implements ingress.Service.
-func (e *Entry) Submit(ctx context.Context, key api.Key, s *api.Submission, wait bool) *api.Answer {
+func (e *Entry) Submit(ctx context.Context, key api.Key, s *api.Submission, age time.Duration, wait bool) *api.Answer {
 	ctx, span := e.options.Tracer.Start(ctx, "submit", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	ctx = withTraceID(ctx)
 	span.SetAttributes(attribute.String("key", key.String()), attribute.String("service", s.Service), attribute.Int("tasks", len(s.Tasks)))
 	s = compactTasks(s)
 	r := &request{op: wire.OpSubmit, key: key, team: s.Team, sub: s, digest: s.Digest(), idempotent: e.idempotent(s), wait: wait, ctx: ctx}
-	r.deadline = e.clock.now().Add(e.timeLimit(s))
+	r.deadline = e.clock.now().Add(e.timeLimit(s) - age)
 	return e.withAnswerTraceID(ctx, e.route(ctx, r))
 }
 
--- a/ingress/handlers.go
+++ b/ingress/handlers.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/intake"
 	"github.com/sesamelift/sesamelift/telemetry/tracing"
 )
@@ -23,6 +24,7 @@
 )
 
 func (s *Server) submit(c echo.Context) error {
+	arrived := clock.SinceBoot()
 	key, err := api.ParseKey(c.Request().Header.Get(KeyHeader))
 	if err != nil {
 		return s.refuse(c, api.Refuse(api.ReasonMalformed, fmt.Sprintf("header %s: %v", KeyHeader, err)))
@@ -45,7 +47,8 @@
 		return s.answer(c, v.Answer(key, false))
 	}
 	ctx := tracing.WithTraceparent(c.Request().Context(), c.Request().Header.Get(traceparentHeader))
-	return s.answer(c, s.options.Service.Submit(ctx, key, sub, c.QueryParam("wait") != "false"))
+	age := clock.SinceBoot() - arrived - intake.Awaited(c.Request())
+	return s.answer(c, s.options.Service.Submit(ctx, key, sub, age, c.QueryParam("wait") != "false"))
 }
 
 // parseSubmission reads a submission. An invalid body is refused with api.RanNo,
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/intake"
 )
 
 const (
@@ -27,11 +29,13 @@
 type fakeService struct {
 	answer         *api.Answer
 	submitted      int
+	age            time.Duration
 	notReadyReason string
 }
 
-func (f *fakeService) Submit(_ context.Context, k api.Key, _ *api.Submission, _ bool) *api.Answer {
+func (f *fakeService) Submit(_ context.Context, k api.Key, _ *api.Submission, age time.Duration, _ bool) *api.Answer {
 	f.submitted++
+	f.age = age
 	return f.reply(k)
 }
 func (f *fakeService) Get(_ context.Context, k api.Key, _ string, _ bool) *api.Answer {
@@ -159,6 +163,51 @@
 	qt.Assert(t, []int{w.Code, f.submitted}, qt.DeepEquals, []int{200, 1})
 }
 
+// Guards against a deadline that counts from when the entry has read the body, and against one
+// that counts the time in which a slow caller sends it.
+func TestDeadlineCountsFromTheHead(t *testing.T) {
+	f := &fakeService{answer: &api.Answer{State: api.StateDone, Verdict: api.Complete, Ran: api.RanYes, Reason: api.ReasonOK}}
+	const pause = 300 * time.Millisecond
+	text := submission(1, 0)
+	// What puts off the reading here isn't the connection.
+	r := httptest.NewRequest("POST", "/v1/jobs", io.MultiReader(strings.NewReader(text[:20]), pausingReader(pause), strings.NewReader(text[20:])))
+	r.Header.Set("Idempotency-Key", validKey)
+	r.Header.Set("Authorization", "Bearer "+kilnToken)
+	w := httptest.NewRecorder()
+	newServer(f, 100).Handler().ServeHTTP(w, r)
+	qt.Assert(t, []int{w.Code, f.submitted}, qt.DeepEquals, []int{200, 1})
+	qt.Assert(t, f.age >= pause, qt.IsTrue, qt.Commentf("%v", f.age))
+
+	g := intake.NewGuard(intake.Options{Limits: intake.Limits{UnfinishedBytes: 1 << 20, Callers: 2, PacedBytesPerSecond: 1 << 20}})
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server, l := g.Protect(newServer(f, 100).HTTPServer()), g.ListenForCallers(raw)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", raw.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	began := time.Now()
+	_, err = fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nIdempotency-Key: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", validKey, kilnToken, len(text), text[:20])
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(pause)
+	_, err = io.WriteString(c, text[20:])
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, []int{resp.StatusCode, f.submitted}, qt.DeepEquals, []int{200, 2})
+	// The connection may have been accepted late.
+	qt.Assert(t, f.age <= time.Since(began)-pause/2, qt.IsTrue, qt.Commentf("%v", f.age))
+}
+
+// pausingReader is an empty reader that ends after some time.
+type pausingReader time.Duration
+
+func (p pausingReader) Read([]byte) (int, error) {
+	time.Sleep(time.Duration(p))
+	return 0, io.EOF
+}
+
 // Guards against a status code that contradicts the verdict.
 func TestStatusCodes(t *testing.T) {
 	rows := map[api.Reason]int{
--- a/ingress/service.go
+++ b/ingress/service.go
@@ -11,8 +11,10 @@
 // for concurrent use.
 type Service interface {
 	// Submit runs a job. If wait is false, it returns once the job is accepted or
-	// refused. The end of ctx ends the wait; it does not cancel the job.
-	Submit(ctx context.Context, key api.Key, s *api.Submission, wait bool) *api.Answer
+	// refused. The end of ctx ends the wait; it does not cancel the job. age is the time
+	// since the head of the request arrived, without that in which the entry waited for
+	// bytes that the caller had not sent; the deadline is sooner by it.
+	Submit(ctx context.Context, key api.Key, s *api.Submission, age time.Duration, wait bool) *api.Answer
 	// Get returns the answer of a job of the team. If wait is true, it waits for
 	// the verdict.
 	Get(ctx context.Context, key api.Key, team string, wait bool) *api.Answer
--- a/intake/body.go
+++ b/intake/body.go
@@ -56,6 +56,19 @@
 	return c
 }
 
+// Awaited returns for how long the reads of a request's body have waited for bytes that its
+// client had not sent. The time in which the process itself puts off reading is not part of
+// it. It is 0 if the connection isn't one of a Guard.
+func Awaited(r *http.Request) time.Duration {
+	c := FromContext(r.Context())
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaited
+}
+
 // Protect sets the limits and hooks of a server whose listener is one of the guard. Limits
 // that are set stay. Bodies have the time-outs of this package, not those of the server.
 func (g *Guard) Protect(server *http.Server) *http.Server {
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -32,6 +32,9 @@
 	// inBody says that the head of the unfinished request has been read.
 	inBody bool
 	ended  bool
+	// awaited is how long reads of the present body have waited for bytes that had not
+	// arrived.
+	awaited time.Duration
 	// refused makes every further read fail.
 	refused bool
 	// endsAt is when the unfinished request has to be whole, if it is paced.
@@ -55,8 +58,9 @@
 	if paced && len(p) > maxReadBytes {
 		p = p[:maxReadBytes]
 	}
+	began := time.Now()
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.charge(p[:n]) {
+	if n > 0 && !c.charge(p[:n], time.Since(began)) {
 		// net/http answers no error of this type in the head of a request.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errBusy}
 	}
@@ -142,8 +146,9 @@
 	return c.SetWriteDeadline(t)
 }
 
-// charge charges what was read. It returns false if the budget does not allow it.
-func (c *Conn) charge(p []byte) bool {
+// charge charges what was read after waiting for some time. It returns false if the budget
+// does not allow it.
+func (c *Conn) charge(p []byte, waited time.Duration) bool {
 	g := c.guard
 	now := g.now()
 	c.mu.Lock()
@@ -156,6 +161,9 @@
 	if c.state.phase != receiving {
 		c.state.phase, c.state.beganAt = receiving, now
 	}
+	if c.inBody {
+		c.awaited += waited
+	}
 	cost := int64(len(p))
 	if !c.inBody && !c.greeted.Load() {
 		cost += headLineBytes * int64(bytes.Count(p, newline))
@@ -215,6 +223,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state.phase, c.inBody, c.needsDeadline = p, inBody, inBody
+	if p == receiving {
+		c.awaited = 0
+	}
 	if p != receiving {
 		c.cancelTurnLocked()
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -170,6 +171,10 @@
 		w.WriteHeader(status)
 		return
 	}
+	if r.URL.Path == "/awaited" {
+		fmt.Fprint(w, Awaited(r).Milliseconds())
+		return
+	}
 	fmt.Fprint(w, n)
 }
 
@@ -459,6 +464,46 @@
 	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "5000"})
 }
 
+// Guards against time in which the process puts off reading that is taken for time in which
+// the client had sent nothing, and against the reverse.
+func TestAwaitedTimeIsThatOfTheClient(t *testing.T) {
+	l := defaults
+	l.UnfinishedBytes, l.PacedBytesPerSecond = 64<<20, 100_000
+	s := newServer(t, l)
+	awaited := func(c net.Conn) time.Duration {
+		status, body := answer(c)
+		s.Assert(status, qt.Equals, 200)
+		ms, err := strconv.Atoi(body)
+		s.Assert(err, qt.IsNil)
+		return time.Duration(ms) * time.Millisecond
+	}
+	const pause = 300 * time.Millisecond
+	c := send(s.dial(), post("/awaited", "Content-Length: 2\r\n", "x"))
+	time.Sleep(pause)
+	s.Assert(awaited(send(c, "x")) >= pause/2, qt.IsTrue)
+	// What the client takes for the head of its next request, and for none, doesn't count.
+	time.Sleep(pause)
+	send(c, "POST /awaited HTTP/1.1\r\nHost: h\r\n")
+	time.Sleep(pause)
+	s.Assert(awaited(send(c, "Content-Length: 2\r\n\r\nxx")) < pause/2, qt.IsTrue)
+
+	for i := range calmRequests + 1 {
+		send(s.dial(), sized(100_000)+strings.Repeat("x", largeBytes+5000))
+		s.eventually("not slowed down", func() bool { return s.guard.large.Load() > int64(i) })
+	}
+	// These spend the burst of 256 KiB, and take a part of the rate for some seconds.
+	for range 3 {
+		go send(s.dial(), sized(280_000)+strings.Repeat("x", 250_000))
+	}
+	s.eventually("paced", func() bool { return s.guard.pace.Tokens() < 0 })
+	began := time.Now()
+	c = s.dial()
+	go send(c, post("/awaited", "Content-Length: 60000\r\n", strings.Repeat("x", 60_000)))
+	got, took := awaited(c), time.Since(began)
+	s.Assert(took > 400*time.Millisecond, qt.IsTrue, qt.Commentf("not paced: took %v", took))
+	s.Assert(got < took/2, qt.IsTrue, qt.Commentf("%v of %v", got, took))
+}
+
 // Guards against reservations of closed connections that delay those after them, and against a
 // pause that adds up to more than the burst.
 func TestPacer(t *testing.T) {
