intake: Read one request of the largest legal size with any memory limit

The budget of unfinished bytes is an eighth of the memory limit. Below 34 MB it was less than a heartbeat of 4 MiB with its head, which was refused although nothing else was being received. It is now at least 4 MiB plus 256 KiB.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -44,6 +44,17 @@
 	qt.Assert(t, Derive(Resources{}).UnfinishedBytes, qt.Equals, int64(64<<20))
 }
 
+// Guards against a single request of legal size that is refused on a host with little memory.
+func TestLargestRequestIsServedWithLittleMemory(t *testing.T) {
+	for _, megabytes := range []int64{1, 16, 31, 33, 36} {
+		s := newServer(t, Derive(Resources{MemoryBytes: megabytes << 20, Descriptors: 3075}))
+		c := s.dial()
+		go send(c, post("/heartbeat", fmt.Sprintf("Content-Length: %d\r\n", 4<<20), strings.Repeat("x", 4<<20)))
+		status, body := answer(c)
+		qt.Check(t, []any{status, body}, qt.DeepEquals, []any{200, "4194304"}, qt.Commentf("%d MB", megabytes))
+	}
+}
+
 // Guards against a caller with a request in progress that is closed for a new connection,
 // or whose idle connection is closed before those of clients that never finish a request.
 func TestChoiceForANewConnection(t *testing.T) {
@@ -159,8 +170,11 @@
 	if r.URL.Path == "/panic" {
 		panic(http.ErrAbortHandler)
 	}
-	n := 0
-	err := ReadBody(r, 300_000, func(b []byte) error {
+	n, limit := 0, int64(300_000)
+	if r.URL.Path == "/heartbeat" {
+		limit = 4 << 20
+	}
+	err := ReadBody(r, limit, func(b []byte) error {
 		if hold := s.hold.Load(); hold != nil {
 			<-*hold
 		}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -42,6 +42,9 @@
 	// memoryShare is the part of the memory limit for unfinished requests, and again for
 	// the tasks in progress: one in memoryShare.
 	memoryShare = 8
+	// minUnfinishedBytes lets a process with little memory read one request of the largest
+	// legal size: a heartbeat or a frame of 4 MiB, and 256 KiB for its head.
+	minUnfinishedBytes = 4<<20 + 256<<10
 	// defaultUnfinishedBytes is used when no memory limit is known.
 	defaultUnfinishedBytes = 64 << 20
 	// connectionBytes is the memory of a connection with its goroutine and buffers, and
@@ -139,7 +142,7 @@
 		Greetings: maxGreetings, PacedBytesPerSecond: pacedBytesPerCore,
 	}
 	if r.MemoryBytes > 0 {
-		l.UnfinishedBytes = r.MemoryBytes / memoryShare
+		l.UnfinishedBytes = max(r.MemoryBytes/memoryShare, minUnfinishedBytes)
 		connections := r.MemoryBytes / connectionBytes
 		l.Callers = max(min(l.Callers, int(connections/connectionMemoryShare)), 1)
 		l.Service = max(min(l.Service, int(connections/serviceMemoryShare)), 1)
