intake: Keep the system's receive buffer without a memory limit

The receive buffer of 32 KiB bounds the memory of the kernel for connections that wait. It was set at each address but that for entries, also where the settings name no memory limit, and switches off the system's adjustment to the round-trip time, so that large bodies over long round trips became slower. It is now part of Limits and derived with a memory limit only.

TestReceiveBufferFollowsTheMemoryLimit fails before the change: 65,536 instead of the 131,072 of the system without a memory limit. go test -race ./intake passes.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -98,9 +98,9 @@
 func (g *Guard) listen(name string, l net.Listener, bound, maxGreetings int) net.Listener {
 	w := &listener{Listener: l, guard: g, name: name, bound: bound, maxGreetings: maxGreetings,
 		open: g.metrics.Tagged(map[string]string{"address": name}).Gauge("intake_connections")}
-	if maxGreetings == 0 {
+	if size := g.limits.ReceiveBufferBytes; size > 0 && maxGreetings == 0 {
 		// Accepted connections have the buffer size of their listener.
-		if err := setReceiveBuffer(l); err != nil {
+		if err := setReceiveBuffer(l, size); err != nil {
 			g.log(decisions.Warn("cannot set the receive buffer of a listener", "address", name, "error", err.Error()))
 		}
 	}
@@ -110,7 +110,7 @@
 	return w
 }
 
-func setReceiveBuffer(l net.Listener) error {
+func setReceiveBuffer(l net.Listener, size int) error {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return errors.Errorf("listener of type %T", l)
@@ -121,7 +121,7 @@
 	}
 	var sockoptErr error
 	if err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
 	}); err != nil {
 		return err
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -12,11 +12,13 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/sesamelift/sesamelift/decisions"
 )
@@ -55,6 +57,42 @@
 	}
 }
 
+// Guards against a small receive buffer, which slows down large bodies over long round trips,
+// where no memory limit calls for it, and against the lack of one where it does.
+func TestReceiveBufferFollowsTheMemoryLimit(t *testing.T) {
+	size := func(bounded func(net.Listener) net.Listener) int {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = raw.Close() }()
+		l := bounded(raw)
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = client.Close() }()
+		conn, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		control, err := conn.(syscall.Conn).SyscallConn()
+		qt.Assert(t, err, qt.IsNil)
+		n := 0
+		qt.Assert(t, control.Control(func(fd uintptr) {
+			n, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+		}), qt.IsNil)
+		qt.Assert(t, err, qt.IsNil)
+		return n
+	}
+	system := size(func(l net.Listener) net.Listener { return l })
+	without := NewGuard(Options{Limits: Derive(Resources{Descriptors: 1000})})
+	with := NewGuard(Options{Limits: Derive(Resources{Descriptors: 1000, MemoryBytes: 144 << 20})})
+	// The system doubles the size that is set.
+	const limited = 2 * receiveBufferBytes
+	qt.Assert(t, system == limited, qt.IsFalse)
+	qt.Check(t, size(without.ListenForCallers), qt.Equals, system)
+	qt.Check(t, size(func(l net.Listener) net.Listener { return without.ListenForService("s", l) }), qt.Equals, system)
+	qt.Check(t, size(with.ListenForCallers), qt.Equals, limited)
+	qt.Check(t, size(func(l net.Listener) net.Listener { return with.ListenForService("s", l) }), qt.Equals, limited)
+	qt.Check(t, size(with.ListenForEntries), qt.Equals, system)
+}
+
 // Guards against a caller with a request in progress that is closed for a new connection,
 // or whose idle connection is closed before those of clients that never finish a request.
 func TestChoiceForANewConnection(t *testing.T) {
@@ -192,7 +230,7 @@
 	fmt.Fprint(w, n)
 }
 
-var defaults = Limits{UnfinishedBytes: 1 << 20, Callers: 100, Service: 10, Links: 10, Greetings: 2, PacedBytesPerSecond: 100 << 20}
+var defaults = Limits{UnfinishedBytes: 1 << 20, Callers: 100, Service: 10, Links: 10, Greetings: 2, ReceiveBufferBytes: receiveBufferBytes, PacedBytesPerSecond: 100 << 20}
 
 func (s *server) dial() net.Conn {
 	c, err := net.Dial("tcp", s.addr)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -36,7 +36,8 @@
 	// the bytes that it is charged for.
 	headLineBytes = 96
 	// receiveBufferBytes is the size of the system's receive buffer of an accepted
-	// connection. Larger ones hold what a client sends while its connection waits.
+	// connection of a process with a memory limit. Larger ones hold what a client sends while
+	// its connection waits, but they are needed for large bodies over long round trips.
 	receiveBufferBytes = 32 << 10
 
 	// memoryShare is the part of the memory limit for unfinished requests, and again for
@@ -122,6 +123,9 @@
 	// Greetings bounds the connections at the address for entries that have not sent their
 	// first message.
 	Greetings int
+	// ReceiveBufferBytes is the size of the system's receive buffer of a connection; 0 leaves
+	// the default of the system.
+	ReceiveBufferBytes int
 	// PacedBytesPerSecond is the rate at which large unfinished requests are read while
 	// they are many.
 	PacedBytesPerSecond int
@@ -148,6 +152,7 @@
 		l.Service = max(min(l.Service, int(connections/serviceMemoryShare)), 1)
 		l.Links = max(min(l.Links, int(connections/linkMemoryShare)), 1)
 		l.WorkBytes = r.MemoryBytes / memoryShare
+		l.ReceiveBufferBytes = receiveBufferBytes
 	}
 	if r.Cores > 0 {
 		l.PacedBytesPerSecond = max(int(r.Cores*pacedBytesPerCore), minPacedBytes)
