telemetry: Don't let a blocked log block the daemons

sesamelift-entry and sesamelift-agent wrote each log line at once, under the lock of the logger. When what collects standard error stopped reading, the first line after the pipe was full, such as one about a refused connection, blocked its goroutine, and the next line of any other goroutine blocked that one too.

This covers all lines, not only those about refusals: any of them would block the others.

Tests: TestBlockedLogDoesNotHoldUpTheDaemon fails before the change ("the log blocks the daemon", after 10 s).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,11 +142,13 @@
 		defer cancel()
 		_ = flush(ctx)
 	}()
+	// What collects the log may stop reading; the process goes on.
+	log, stopLog := telemetry.NewQueuedLogger(d.Name, s.Logging, out, scope.Counter("log_lines_dropped_total"))
+	defer stopLog()
 	return supervise(func(drain, stop context.Context) error {
 		return d.Serve(drain, stop, Dependencies{
 			Credentials: creds, Platform: platform.NewStore(s.PlatformAddress),
-			Log:     telemetry.NewLogger(d.Name, s.Logging, out),
-			Metrics: scope, MetricsHandler: handler, Tracer: tracer,
+			Log: log, Metrics: scope, MetricsHandler: handler, Tracer: tracer,
 		})
 	})
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -31,3 +32,38 @@
 	failed := errors.New("failed")
 	qt.Assert(t, supervise(func(context.Context, context.Context) error { return failed }), qt.Equals, failed)
 }
+
+// blockedWriter blocks in each write until it is closed.
+type blockedWriter chan struct{}
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b
+	return len(p), nil
+}
+
+// Guards against a daemon that stands still, or does not end, because what collects its log has
+// stopped reading.
+func TestBlockedLogDoesNotHoldUpTheDaemon(t *testing.T) {
+	out := make(blockedWriter)
+	defer close(out)
+	logged, ended := make(chan struct{}), make(chan error, 1)
+	d := &Daemon{Name: "test", MetricsPrefix: "test", Serve: func(_, _ context.Context, deps Dependencies) error {
+		for range 10_000 {
+			deps.Log.Warn("connections closed to make room for new ones")
+		}
+		close(logged)
+		return nil
+	}}
+	go func() { ended <- d.serve(CommonSettings{PlatformAddress: "127.0.0.1:1"}, nil, out) }()
+	select {
+	case <-logged:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the log blocks the daemon")
+	}
+	select {
+	case err := <-ended:
+		qt.Assert(t, err, qt.IsNil)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the log blocks the end of the daemon")
+	}
+}
