--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -156,7 +156,9 @@
 		defer cancel()
 		_ = flush(ctx)
 	}()
-	log := telemetry.NewLogger(d.Name, s.Logging, out)
+	// What collects the log may stop reading; the process goes on.
+	log, stopLog := telemetry.NewQueuedLogger(d.Name, s.Logging, out, scope.Counter("log_lines_dropped_total"))
+	defer stopLog()
 	ignoreReload := func() { log.Warn("reload signal ignored: settings take effect at the next start") }
 	if reload {
 		ignoreReload()
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,13 +9,16 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/sesamelift/sesamelift/decisions"
 )
@@ -43,6 +46,53 @@
 	qt.Assert(t, Derive(Resources{}).UnfinishedBytes, qt.Equals, int64(64<<20))
 }
 
+// Guards against a single request of legal size that is refused on a host with little memory.
+func TestLargestRequestIsServedWithLittleMemory(t *testing.T) {
+	for _, megabytes := range []int64{1, 16, 31, 33, 36} {
+		s := newServer(t, Derive(Resources{MemoryBytes: megabytes << 20, Descriptors: 3075}))
+		c := s.dial()
+		go send(c, post("/heartbeat", fmt.Sprintf("Content-Length: %d\r\n", 4<<20), strings.Repeat("x", 4<<20)))
+		status, body := answer(c)
+		qt.Check(t, []any{status, body}, qt.DeepEquals, []any{200, "4194304"}, qt.Commentf("%d MB", megabytes))
+	}
+}
+
+// Guards against a small receive buffer, which slows down large bodies over long round trips,
+// where no memory limit calls for it, and against the lack of one where it does.
+func TestReceiveBufferFollowsTheMemoryLimit(t *testing.T) {
+	size := func(bounded func(net.Listener) net.Listener) int {
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = raw.Close() }()
+		l := bounded(raw)
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = client.Close() }()
+		conn, err := l.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		control, err := conn.(syscall.Conn).SyscallConn()
+		qt.Assert(t, err, qt.IsNil)
+		n := 0
+		qt.Assert(t, control.Control(func(fd uintptr) {
+			n, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+		}), qt.IsNil)
+		qt.Assert(t, err, qt.IsNil)
+		return n
+	}
+	system := size(func(l net.Listener) net.Listener { return l })
+	without := NewGuard(Options{Limits: Derive(Resources{Descriptors: 1000})})
+	with := NewGuard(Options{Limits: Derive(Resources{Descriptors: 1000, MemoryBytes: 144 << 20})})
+	// The system doubles the size that is set.
+	const limited = 2 * receiveBufferBytes
+	qt.Assert(t, system == limited, qt.IsFalse)
+	qt.Check(t, size(without.ListenForCallers), qt.Equals, system)
+	qt.Check(t, size(func(l net.Listener) net.Listener { return without.ListenForService("s", l) }), qt.Equals, system)
+	qt.Check(t, size(with.ListenForCallers), qt.Equals, limited)
+	qt.Check(t, size(func(l net.Listener) net.Listener { return with.ListenForService("s", l) }), qt.Equals, limited)
+	qt.Check(t, size(with.ListenForEntries), qt.Equals, system)
+}
+
 // Guards against a caller with a request in progress that is closed for a new connection,
 // or whose idle connection is closed before those of clients that never finish a request.
 func TestChoiceForANewConnection(t *testing.T) {
@@ -158,8 +208,11 @@
 	if r.URL.Path == "/panic" {
 		panic(http.ErrAbortHandler)
 	}
-	n := 0
-	err := ReadBody(r, 300_000, func(b []byte) error {
+	n, limit := 0, int64(300_000)
+	if r.URL.Path == "/heartbeat" {
+		limit = 4 << 20
+	}
+	err := ReadBody(r, limit, func(b []byte) error {
 		if hold := s.hold.Load(); hold != nil {
 			<-*hold
 		}
@@ -170,10 +223,14 @@
 		w.WriteHeader(status)
 		return
 	}
+	if r.URL.Path == "/awaited" {
+		fmt.Fprint(w, Awaited(r).Milliseconds())
+		return
+	}
 	fmt.Fprint(w, n)
 }
 
-var defaults = Limits{UnfinishedBytes: 1 << 20, Callers: 100, Service: 10, Links: 10, Greetings: 2, PacedBytesPerSecond: 100 << 20}
+var defaults = Limits{UnfinishedBytes: 1 << 20, Callers: 100, Service: 10, Links: 10, Greetings: 2, ReceiveBufferBytes: receiveBufferBytes, PacedBytesPerSecond: 100 << 20}
 
 func (s *server) dial() net.Conn {
 	c, err := net.Dial("tcp", s.addr)
@@ -459,6 +516,46 @@
 	s.Assert([]any{status, body}, qt.DeepEquals, []any{200, "5000"})
 }
 
+// Guards against time in which the process puts off reading that is taken for time in which
+// the client had sent nothing, and against the reverse.
+func TestAwaitedTimeIsThatOfTheClient(t *testing.T) {
+	l := defaults
+	l.UnfinishedBytes, l.PacedBytesPerSecond = 64<<20, 100_000
+	s := newServer(t, l)
+	awaited := func(c net.Conn) time.Duration {
+		status, body := answer(c)
+		s.Assert(status, qt.Equals, 200)
+		ms, err := strconv.Atoi(body)
+		s.Assert(err, qt.IsNil)
+		return time.Duration(ms) * time.Millisecond
+	}
+	const pause = 300 * time.Millisecond
+	c := send(s.dial(), post("/awaited", "Content-Length: 2\r\n", "x"))
+	time.Sleep(pause)
+	s.Assert(awaited(send(c, "x")) >= pause/2, qt.IsTrue)
+	// What the client takes for the head of its next request, and for none, doesn't count.
+	time.Sleep(pause)
+	send(c, "POST /awaited HTTP/1.1\r\nHost: h\r\n")
+	time.Sleep(pause)
+	s.Assert(awaited(send(c, "Content-Length: 2\r\n\r\nxx")) < pause/2, qt.IsTrue)
+
+	for i := range calmRequests + 1 {
+		send(s.dial(), sized(100_000)+strings.Repeat("x", largeBytes+5000))
+		s.eventually("not slowed down", func() bool { return s.guard.large.Load() > int64(i) })
+	}
+	// These spend the burst of 256 KiB, and take a part of the rate for some seconds.
+	for range 3 {
+		go send(s.dial(), sized(280_000)+strings.Repeat("x", 250_000))
+	}
+	s.eventually("paced", func() bool { return s.guard.pace.Tokens() < 0 })
+	began := time.Now()
+	c = s.dial()
+	go send(c, post("/awaited", "Content-Length: 60000\r\n", strings.Repeat("x", 60_000)))
+	got, took := awaited(c), time.Since(began)
+	s.Assert(took > 400*time.Millisecond, qt.IsTrue, qt.Commentf("not paced: took %v", took))
+	s.Assert(got < took/2, qt.IsTrue, qt.Commentf("%v of %v", got, took))
+}
+
 // Guards against reservations of closed connections that delay those after them, and against a
 // pause that adds up to more than the burst.
 func TestPacer(t *testing.T) {
