runner: Keep the most recent known speeds

With the speeds of four worker instances stored, a fifth one replaced the oldest of them even if it was older itself. An entry that was cut off for long could so displace the recent speed of the present instance before the agent knew its worker. An older value is now ignored.

TestOldKnownSpeedsDoNotReplaceRecentOnes failed before.

--- a/runner/known_speed.go
+++ b/runner/known_speed.go
@@ -8,9 +8,9 @@
 	"github.com/sesamelift/sesamelift/link"
 )
 
-// maxKnownSpeeds is the number of worker instances whose known speed is kept until the agent
-// knows which of them is its worker. Entries that were cut off at different times know
-// different instances.
+// maxKnownSpeeds is the number of worker instances whose known speed is kept, the most recent
+// ones, until the agent knows which of them is its worker. Entries that were cut off at
+// different times know different instances.
 const maxKnownSpeeds = 4
 
 // knownSpeed is a speed of a worker that an earlier process of the agent reported at a time.
@@ -44,6 +44,9 @@
 				oldest = i
 			}
 		}
+		if known.reportedAt <= s.knownSpeeds[oldest].reportedAt {
+			return
+		}
 		s.knownSpeeds[oldest] = known
 	}
 	s.useKnownSpeed(now)
--- a/runner/known_speed_test.go
+++ b/runner/known_speed_test.go
@@ -148,6 +148,21 @@
 	f.Assert(f.s.speed.speed(), qt.Equals, 1.0)
 }
 
+// Guards against an entry that was cut off for long and whose values, of instances from long
+// ago, take the place of the recent one of the present instance.
+func TestOldKnownSpeedsDoNotReplaceRecentOnes(t *testing.T) {
+	f := newRestartedFixture(t)
+	f.passOn(1, known(0.55, time.Second))
+	for born := range int64(maxKnownSpeeds) {
+		f.passOn(2, &link.KnownSpeed{WorkerID: "life-7", Born: 1 + born, Speed: 0.8, AgeMS: 30000})
+	}
+	f.passOn(2, &link.KnownSpeed{WorkerID: "life-7", Born: 6, Speed: 0.8, AgeMS: 50000})
+	f.Assert(f.s.knownSpeeds, qt.HasLen, maxKnownSpeeds)
+	for _, k := range f.s.knownSpeeds {
+		f.Check(k.born, qt.Not(qt.Equals), int64(6))
+	}
+}
+
 // Load pattern: a worker that is slow for half a second. Guards against an agent that reports
 // this as the speed for the time after its restart, in which it would get no tasks.
 func TestWorkerThatIsSlowForAMoment(t *testing.T) {
