dispatch: Count all kinds that are kept apart

An entry took only the first 16 kinds of a report, by name. With keep_apart, an agent reports up to 16 suspected kinds and up to 32 kinds of the setting, so that tasks of other entries were ignored for those that come last by name, and the pairs had no effect there. The bound is now 16 plus the kinds of the setting; it is unchanged without the setting.

TestAllKindsThatAreKeptApartAreCounted failed before: none of the 32 kinds of the setting was counted beside 16 others.

--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -16,7 +16,7 @@
 // down.
 func (s *Scheduler) contentionReported(now time.Duration, w *worker, r *link.Report) {
 	w.running = nil
-	for _, k := range r.Running[:min(len(r.Running), interference.MaxKinds)] {
+	for _, k := range r.Running[:min(len(r.Running), s.maxRunningKinds)] {
 		if len(k.Kind) <= interference.MaxKindLength {
 			w.running = append(w.running, k)
 		}
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -197,6 +197,34 @@
 	}
 }
 
+// Load pattern: tasks of other entries, of as many kinds as agents may report. Guards against
+// kinds that are named to be kept apart and whose tasks aren't seen.
+func TestAllKindsThatAreKeptApartAreCounted(t *testing.T) {
+	h := newHarness(t)
+	var pairs []interference.Pair
+	for i := range interference.MaxKeptApart {
+		pairs = append(pairs, interference.Pair{Kind: fmt.Sprintf("k%02d", 2*i), Neighbor: fmt.Sprintf("k%02d", 2*i+1)})
+	}
+	h.s = New(Options{RestartDelay: 900 * ms, MaxWaitingJobs: 100, KeepApart: pairs})
+	h.s.AgentConnected(h.now, "w1", 1)
+	r := &link.Report{Worker: state(7)}
+	for i := range interference.MaxKinds {
+		// Kinds that the agent suspects.
+		r.Running = append(r.Running, link.KindCount{Kind: fmt.Sprintf("a%02d", i), Count: 1})
+	}
+	for _, kind := range h.takeActions()[0].CountKinds {
+		r.Running = append(r.Running, link.KindCount{Kind: kind, Count: 1})
+	}
+	h.report("w1", 1, 1, r)
+	for _, pair := range pairs {
+		h.Check(h.s.workers["w1"].countOf(pair.Kind), qt.Equals, 1, qt.Commentf("%s", pair.Kind))
+		h.Check(h.s.workers["w1"].countOf(pair.Neighbor), qt.Equals, 1, qt.Commentf("%s", pair.Neighbor))
+	}
+	r = &link.Report{Running: make([]link.KindCount, 10000)}
+	h.report("w1", 1, 1, r)
+	h.Check(h.s.workers["w1"].running, qt.HasLen, interference.MaxKinds+2*interference.MaxKeptApart)
+}
+
 // The cost of placing a task on one of 890 workers, without and with pairs that count.
 func BenchmarkPlacement(b *testing.B) {
 	for _, pairs := range []int{0, 1, 8} {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -190,6 +190,9 @@
 	// pairs tells which kinds of tasks slow each other down. pairChanges counts its changes.
 	pairs       *interference.Pool
 	pairChanges int64
+	// maxRunningKinds bounds the kinds that are kept of a report's Running: an agent reports
+	// those that it suspects and those that are kept apart by the settings.
+	maxRunningKinds int
 	// maxSpeeds caches the result of maxSpeed by service. It is cleared whenever
 	// a worker changes.
 	maxSpeeds  map[string]float64
@@ -217,10 +220,11 @@
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy
 	}
+	pairs := interference.NewPool(o.KeepApart...)
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
 		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
-		pairs:      interference.NewPool(o.KeepApart...),
+		pairs: pairs, maxRunningKinds: interference.MaxKinds + len(pairs.KeptApartKinds()),
 		evacuation: evacuation{unchecked: map[string]bool{}, runnableUntil: map[workerKind]time.Duration{}},
 	}
 }
