placement: Count only agents that may get tasks in the ejection share

Cause: canEject compared the ejected agents with all agents that name the service, including those in evacuated zones, drained, leaving, or disconnected for up to a minute. With 7 of 10 agents in evacuated zones, the 3 others could all be ejected at once, and callers got refusals although those workers worked.

Each service now counts its eligible agents: connected, permitted by the configuration, and not leaving. An agent in readmission is ejected again only within the share; beyond it, it starts its readmission anew with one task at a time. An agent that isn't eligible isn't ejected, since it would add to the share when it is eligible again. Where all agents are eligible, decisions are unchanged.

TestOnlyEligibleAgentsCountInEjectShare fails before in 4 of its 8 cases (evacuated or drained, disconnected, leaving, failures in readmission: 3 ejected, 0 wanted). In TestRefusalsDuringEvacuation, the case in which the only remaining worker fails tasks was refused before; the case of an ejected worker now ejects it before the evacuation, since it can't be ejected after it any more.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -58,11 +58,18 @@
 			connect(ls, "w1", 21, home, nil, leaving)
 		}, waits + nothingOutsideTakes, nothingOutsideTakes},
 		{"backend server down", func(ls *loopState, now time.Time) { ls.updateLoad(ls.agents[11], leaving, nil, now) }, waits + nothingOutsideTakes, nothingOutsideTakes},
-		{"ejected", func(ls *loopState, now time.Time) {
+		{"ejected before the evacuation", func(ls *loopState, now time.Time) {
+			evacuate(ls)
 			for range 6 {
 				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
 			}
+			evacuate(ls, other)
 		}, waits + nothingOutsideTakes, accepted},
+		{"only worker fails tasks", func(ls *loopState, now time.Time) {
+			for range 6 {
+				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
+			}
+		}, accepted, accepted},
 		{"other zone restored, configuration under way", func(ls *loopState, now time.Time) {
 			evacuate(ls, home, other)
 			ls.updateLoad(ls.agents[11], leaving, nil, now.Add(-time.Minute))
--- a/placement/agent.go
+++ b/placement/agent.go
@@ -38,11 +38,12 @@
 }
 
 // membership is an agent's position in the rankings of one service, by class.
-// allowed is whether the configuration lets the worker serve the service.
+// allowed is whether the configuration lets the worker serve the service, counted
+// whether the agent is among the eligible agents of the service.
 type membership struct {
-	service *service
-	allowed bool
-	pos     [2]int
+	service          *service
+	allowed, counted bool
+	pos              [2]int
 }
 
 // startRing is a ring buffer of the times and classes of the last starts.
@@ -195,11 +196,14 @@
 		return
 	}
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		for c := range v.rankings {
-			v.rankings[c].remove(g.memberships[i].pos[c])
+		m := &g.memberships[i]
+		for c := range m.service.rankings {
+			m.service.rankings[c].remove(m.pos[c])
+		}
+		g.health.removeFromSums(m.service)
+		if m.counted {
+			m.addToCounts(&g.health, false)
 		}
-		g.health.removeFromSums(v)
 	}
 	g.memberships = g.memberships[:0]
 	for i, name := range services {
@@ -226,8 +230,10 @@
 	return v
 }
 
-// updateRank recomputes the keys of the agent in the rankings of its services.
+// updateRank recomputes the keys of the agent in the rankings of its services, after any
+// change that they depend on.
 func (s *State) updateRank(g *agent) {
+	g.countEligible()
 	tie := s.rand.Uint64() & tieMask
 	slots := g.availableSlots(s.options.LongShare, s.now)
 	for i := range g.memberships {
--- a/placement/health.go
+++ b/placement/health.go
@@ -82,8 +82,29 @@
 func (h *health) addToSums(v *service) {
 	v.failureRateSum += h.failureRate
 	v.logSlowdownSum += h.logSlowdown.value
+}
+
+// countEligible updates the counts of the agent's services after a change of its
+// eligibility.
+func (g *agent) countEligible() {
+	for i := range g.memberships {
+		m := &g.memberships[i]
+		if eligible := g.eligible(i); eligible != m.counted {
+			m.counted = eligible
+			m.addToCounts(&g.health, eligible)
+		}
+	}
+}
+
+// addToCounts adds an agent to the counts of its service, or reverts that.
+func (m *membership) addToCounts(h *health, add bool) {
+	n := 1
+	if !add {
+		n = -1
+	}
+	m.service.eligibleAgents += n
 	if h.readmissionLimit > 0 {
-		v.limitedAgents++
+		m.service.limitedAgents += n
 	}
 }
 
@@ -91,20 +112,25 @@
 func (h *health) removeFromSums(v *service) {
 	v.failureRateSum -= h.failureRate
 	v.logSlowdownSum -= h.logSlowdown.value
-	if h.readmissionLimit > 0 {
-		v.limitedAgents--
-	}
 }
 
 // updateHealth applies change to the health of the agent and updates the sums of
 // its services.
 func (g *agent) updateHealth(change func(h *health)) {
 	for i := range g.memberships {
-		g.health.removeFromSums(g.memberships[i].service)
+		m := &g.memberships[i]
+		g.health.removeFromSums(m.service)
+		if m.counted {
+			m.addToCounts(&g.health, false)
+		}
 	}
 	change(&g.health)
 	for i := range g.memberships {
-		g.health.addToSums(g.memberships[i].service)
+		m := &g.memberships[i]
+		g.health.addToSums(m.service)
+		if m.counted {
+			m.addToCounts(&g.health, true)
+		}
 	}
 }
 
@@ -214,12 +240,16 @@
 }
 
 // eject stops starts on an agent for a time, unless too many agents of one of its
-// services are ejected or in readmission. An agent in readmission is one of these
-// already, and can always be ejected again. Each ejection lasts twice as long as the
+// services are ejected or in readmission. Each ejection lasts twice as long as the
 // one before, up to Options.MaxEjectTime; the first after a MaxEjectTime without
-// ejection lasts Options.EjectTime again.
+// ejection lasts Options.EjectTime again. An agent in readmission that can't be ejected
+// again, since other agents of its services are no longer eligible, starts its
+// readmission anew.
 func (s *State) eject(g *agent, reason string, now time.Time) {
-	if g.health.readmissionLimit == 0 && !s.canEject(g) {
+	if !s.canEject(g) {
+		if g.health.readmissionLimit > 0 {
+			g.updateHealth(func(h *health) { h.readmissionLimit = 1 })
+		}
 		return
 	}
 	g.updateHealth(func(h *health) {
@@ -233,16 +263,27 @@
 	})
 }
 
-// canEject reports whether one more ejection keeps every service of the agent
-// within Options.EjectShare.
+// canEject reports whether every service of the agent is within Options.EjectShare with
+// the agent ejected. Only eligible agents count: if those in evacuated zones did, all
+// others of a service could be ejected at once. An agent that isn't eligible for any
+// service can't be ejected, since it would add to the share once it is eligible again.
 func (s *State) canEject(g *agent) bool {
+	eligible := false
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		if float64(v.limitedAgents+1) > s.options.EjectShare*float64(len(v.rankings[0].items)) {
+		m := &g.memberships[i]
+		if !m.counted {
+			continue
+		}
+		eligible = true
+		limited := m.service.limitedAgents
+		if g.health.readmissionLimit == 0 {
+			limited++
+		}
+		if float64(limited) > s.options.EjectShare*float64(m.service.eligibleAgents) {
 			return false
 		}
 	}
-	return true
+	return eligible
 }
 
 // AgentStatus describes an agent for the status page, the list of workers and the
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,8 +58,8 @@
 	// Zone is the availability zone of this entry.
 	Zone string
 	Seed uint64
-	// EjectShare is the maximum share of the agents of a service that may be ejected
-	// or in readmission; default 0.3.
+	// EjectShare is the maximum share of the eligible agents of a service that may be
+	// ejected or in readmission; default 0.3.
 	EjectShare float64
 	// EjectTime is the duration of the first ejection of an agent; default 1 s. The
 	// duration doubles with each further ejection, up to MaxEjectTime (default 1 min).
@@ -134,10 +134,11 @@
 	name     string
 	rankings [2]ranking
 	// failureRateSum and logSlowdownSum are the sums of health.failureRate and of
-	// health.logSlowdown over the agents. limitedAgents is the number of agents that
-	// are ejected or in readmission.
+	// health.logSlowdown over the agents. eligibleAgents is the number of agents that
+	// may get tasks if they aren't ejected; limitedAgents of them are ejected or in
+	// readmission.
 	failureRateSum, logSlowdownSum float64
-	limitedAgents                  int
+	eligibleAgents, limitedAgents  int
 	meanRunTime                    movingAverage
 	// othersShare and othersLongShare are the mean shares of an agent's slots that
 	// tasks and long tasks of other entries use, by the last reports. reportedAt is
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -300,6 +300,82 @@
 	qt.Assert(t, ejected, qt.Equals, 3)
 }
 
+// Guards against ejecting all agents that remain while others of the service can't get
+// tasks: with those counted, three ejections of ten agents were allowed, and callers got
+// refusals although the three remaining workers worked.
+func TestOnlyEligibleAgentsCountInEjectShare(t *testing.T) {
+	exclude := func(s *State) {
+		s.SetAllowedWorkers(func(w, _, _ string) bool { return w == "w1" || w == "w2" || w == "w3" })
+	}
+	fail := func(s *State, ids ...uint64) {
+		for range 20 {
+			for _, id := range ids {
+				s.TaskEnded(id, TaskEnd{Service: "s", Outcome: wire.OutcomeFailed}, t0)
+			}
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(s *State)
+		// failed is set if change includes the failures; otherwise agents 1 to 3 fail after it.
+		failed bool
+		want   int
+	}{
+		{"all eligible", func(*State) {}, false, 3},
+		{"zones evacuated or workers drained", exclude, false, 0},
+		{"disconnected", func(s *State) {
+			for id := uint64(4); id <= 10; id++ {
+				s.AgentDisconnected(id)
+			}
+		}, false, 0},
+		{"leaving", func(s *State) {
+			for id := uint64(4); id <= 10; id++ {
+				s.UpdateLoad(id, wire.Load{Slots: 8, Leaving: true}, nil, t0)
+			}
+		}, false, 0},
+		{"other service", func(s *State) {
+			for id := uint64(4); id <= 10; id++ {
+				s.UpdateLoad(id, wire.Load{Slots: 8}, []string{"other"}, t0)
+			}
+		}, false, 0},
+		{"eligible again", func(s *State) {
+			exclude(s)
+			s.SetAllowedWorkers(nil)
+		}, false, 3},
+		// Those three would otherwise add to the ejections of others once they are eligible.
+		{"failures of excluded agents", func(s *State) {
+			s.SetAllowedWorkers(func(w, _, _ string) bool { return w != "w1" && w != "w2" && w != "w3" })
+			fail(s, 1, 2, 3)
+			s.SetAllowedWorkers(nil)
+			fail(s, 4, 5, 6)
+		}, true, 3},
+		// The three are ejected before the exclusion; afterwards none is ejected again.
+		{"failures in readmission", func(s *State) {
+			fail(s, 1, 2, 3)
+			exclude(s)
+			s.Advance(t0.Add(time.Minute))
+			for id := uint64(1); id <= 3; id++ {
+				s.TaskEnded(id, TaskEnd{Service: "s", Outcome: wire.OutcomeFailed}, t0.Add(time.Minute))
+			}
+		}, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFleet(10, Options{})
+			c.change(s)
+			if !c.failed {
+				fail(s, 1, 2, 3)
+			}
+			got := 0
+			for _, a := range s.Agents(s.now) {
+				if a.Ejected {
+					got++
+				}
+			}
+			qt.Assert(t, got, qt.Equals, c.want)
+		})
+	}
+}
+
 // Guards against ejecting agents in an overload, when tasks of large jobs fail on
 // all agents because their deadline has passed.
 func TestFailuresOnAllAgentsEjectNone(t *testing.T) {
