placement: Compare an agent only with others that may get tasks

Cause: the mean failure rate and slowdown of the other agents included those in evacuated zones, drained, leaving or disconnected, whose values are those of the time before. With most agents excluded, failures or a slowdown that all remaining agents had alike, which are likely due to the tasks, looked like those of one agent, and the remaining ones were ejected up to the share.

The sums that the comparison uses are now kept over the eligible agents, like the counts of the ejection share.

TestOnlyEligibleAgentsAreCompared fails before in both cases: of 40 agents, 4 of which may get tasks, one is ejected for "5 consecutive failures" and for "5.0 times slower than the others" although all 4 behave alike.

--- a/placement/agent.go
+++ b/placement/agent.go
@@ -200,9 +200,8 @@
 		for c := range m.service.rankings {
 			m.service.rankings[c].remove(m.pos[c])
 		}
-		g.health.removeFromSums(m.service)
 		if m.counted {
-			m.addToCounts(&g.health, false)
+			m.removeFromSums(&g.health)
 		}
 	}
 	g.memberships = g.memberships[:0]
@@ -215,7 +214,6 @@
 		for c := range v.rankings {
 			v.rankings[c].add(g, len(g.memberships)-1)
 		}
-		g.health.addToSums(v)
 	}
 }
 
@@ -233,7 +231,7 @@
 // updateRank recomputes the keys of the agent in the rankings of its services, after any
 // change that they depend on.
 func (s *State) updateRank(g *agent) {
-	g.countEligible()
+	g.updateEligible()
 	tie := s.rand.Uint64() & tieMask
 	slots := g.availableSlots(s.options.LongShare, s.now)
 	for i := range g.memberships {
--- a/placement/health.go
+++ b/placement/health.go
@@ -78,58 +78,66 @@
 	return 0
 }
 
-// addToSums adds the health to the sums over the agents of a service.
-func (h *health) addToSums(v *service) {
-	v.failureRateSum += h.failureRate
-	v.logSlowdownSum += h.logSlowdown.value
-}
-
-// countEligible updates the counts of the agent's services after a change of its
+// updateEligible updates the sums of the agent's services after a change of its
 // eligibility.
-func (g *agent) countEligible() {
+func (g *agent) updateEligible() {
 	for i := range g.memberships {
 		m := &g.memberships[i]
 		if eligible := g.eligible(i); eligible != m.counted {
-			m.counted = eligible
-			m.addToCounts(&g.health, eligible)
+			if m.counted {
+				m.removeFromSums(&g.health)
+			}
+			if m.counted = eligible; eligible {
+				m.addToSums(&g.health)
+			}
 		}
 	}
 }
 
-// addToCounts adds an agent to the counts of its service, or reverts that.
-func (m *membership) addToCounts(h *health, add bool) {
-	n := 1
-	if !add {
-		n = -1
-	}
-	m.service.eligibleAgents += n
+// addToSums adds the health of an eligible agent to the sums of its service.
+func (m *membership) addToSums(h *health) {
+	v := m.service
+	v.eligibleAgents++
+	v.failureRateSum += h.failureRate
+	v.logSlowdownSum += h.logSlowdown.value
 	if h.readmissionLimit > 0 {
-		m.service.limitedAgents += n
+		v.limitedAgents++
 	}
 }
 
 // removeFromSums reverts addToSums.
-func (h *health) removeFromSums(v *service) {
+func (m *membership) removeFromSums(h *health) {
+	v := m.service
+	v.eligibleAgents--
 	v.failureRateSum -= h.failureRate
 	v.logSlowdownSum -= h.logSlowdown.value
+	if h.readmissionLimit > 0 {
+		v.limitedAgents--
+	}
+}
+
+// others returns the number of other eligible agents of the service, and the sums of their
+// failure rates and of the logarithms of their slowdowns.
+func (m *membership) others(h *health) (n int, failureRates, logSlowdowns float64) {
+	v := m.service
+	if !m.counted {
+		return v.eligibleAgents, v.failureRateSum, v.logSlowdownSum
+	}
+	return v.eligibleAgents - 1, v.failureRateSum - h.failureRate, v.logSlowdownSum - h.logSlowdown.value
 }
 
 // updateHealth applies change to the health of the agent and updates the sums of
 // its services.
 func (g *agent) updateHealth(change func(h *health)) {
 	for i := range g.memberships {
-		m := &g.memberships[i]
-		g.health.removeFromSums(m.service)
-		if m.counted {
-			m.addToCounts(&g.health, false)
+		if m := &g.memberships[i]; m.counted {
+			m.removeFromSums(&g.health)
 		}
 	}
 	change(&g.health)
 	for i := range g.memberships {
-		m := &g.memberships[i]
-		g.health.addToSums(m.service)
-		if m.counted {
-			m.addToCounts(&g.health, true)
+		if m := &g.memberships[i]; m.counted {
+			m.addToSums(&g.health)
 		}
 	}
 }
@@ -200,9 +208,8 @@
 	h := &g.health
 	others := 0.0
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		if n := len(v.rankings[0].items) - 1; n > 0 {
-			others = max(others, (v.failureRateSum-h.failureRate)/float64(n))
+		if n, sum, _ := g.memberships[i].others(h); n > 0 {
+			others = max(others, sum/float64(n))
 		}
 	}
 	switch {
@@ -226,13 +233,11 @@
 		return ""
 	}
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		n := len(v.rankings[0].items) - 1
+		n, _, sum := g.memberships[i].others(h)
 		if n < 1 {
 			continue
 		}
-		others := (v.logSlowdownSum - h.logSlowdown.value) / float64(n)
-		if ratio := math.Exp(h.logSlowdown.value - others); ratio > ejectSlowdown {
+		if ratio := math.Exp(h.logSlowdown.value - sum/float64(n)); ratio > ejectSlowdown {
 			return fmt.Sprintf("%.1f times slower than the others", ratio)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -129,16 +129,16 @@
 }
 
 // service holds the rankings of the agents of one service by class, and the sums
-// over these agents from which an agent is compared with the others.
+// over the eligible ones from which an agent is compared with the others.
 type service struct {
 	name     string
 	rankings [2]ranking
-	// failureRateSum and logSlowdownSum are the sums of health.failureRate and of
-	// health.logSlowdown over the agents. eligibleAgents is the number of agents that
-	// may get tasks if they aren't ejected; limitedAgents of them are ejected or in
-	// readmission.
-	failureRateSum, logSlowdownSum float64
+	// eligibleAgents is the number of agents that may get tasks if they aren't ejected;
+	// limitedAgents of them are ejected or in readmission. failureRateSum and
+	// logSlowdownSum are the sums of health.failureRate and of health.logSlowdown over the
+	// eligible agents.
 	eligibleAgents, limitedAgents  int
+	failureRateSum, logSlowdownSum float64
 	meanRunTime                    movingAverage
 	// othersShare and othersLongShare are the mean shares of an agent's slots that
 	// tasks and long tasks of other entries use, by the last reports. reportedAt is
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -393,6 +394,39 @@
 	}
 }
 
+// Guards against comparing an agent with those that get no tasks: their outcomes are those
+// of the time before, so that failures or a slowdown that all other agents have alike, for
+// example because of the tasks, would eject it.
+func TestOnlyEligibleAgentsAreCompared(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  TaskEnd
+	}{
+		{"failures", TaskEnd{Service: "s", Outcome: wire.OutcomeFailed}},
+		{"slowdown", succeeded(wire.ClassShort, "", 10*time.Second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFleet(40, Options{})
+			// With 200 types, the typical run times change little while the tasks are slow.
+			for i := range 200 {
+				for id := uint64(1); id <= 40; id++ {
+					s.TaskEnded(id, succeeded(wire.ClassShort, fmt.Sprint(i), 100*time.Millisecond), t0)
+				}
+			}
+			s.SetAllowedWorkers(func(w, _, _ string) bool { return slices.Contains([]string{"w1", "w2", "w3", "w4"}, w) })
+			for i := range 200 {
+				for id := uint64(1); id <= 4; id++ {
+					c.end.Type = fmt.Sprint(i)
+					s.TaskEnded(id, c.end, t0)
+				}
+			}
+			for _, a := range s.Agents(t0) {
+				qt.Check(t, a.Ejected, qt.IsFalse, qt.Commentf("%s: %s", a.Worker, a.EjectionReason))
+			}
+		})
+	}
+}
+
 // Guards against losing the count of tasks in flight over a reconnection, and
 // against keeping records of agents that never reconnect.
 func TestReconnection(t *testing.T) {
