entry: Look for the workers of waiting jobs once a tick

Cause: while jobs wait for workers that stopped accepting tasks, each tick of 10 ms handles every waiting job again, and each of them summed up the slots of all workers.

retryBlocked now computes once for each service whether its jobs go on waiting.

--- a/entry/core.go
+++ b/entry/core.go
@@ -63,9 +63,11 @@
 	// queuedTasks counts the queued tasks by service and team.
 	queuedTasks     map[[2]string]int
 	blockedRequests []*request
-	delayedTasks    []delayedTask
-	retryBudget     retryBudget
-	pendingCloses   map[api.Key]*pendingClose
+	// awaited caches serviceAwaitsWorkers during retryBlocked; it is nil otherwise.
+	awaited       map[string]bool
+	delayedTasks  []delayedTask
+	retryBudget   retryBudget
+	pendingCloses map[api.Key]*pendingClose
 
 	draining bool
 	// exiting is set once Entry.drained or Entry.removed is closed.
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -185,3 +185,44 @@
 	qt.Assert(t, waited, qt.IsTrue)
 	qt.Assert(t, (<-done).answer.Verdict, qt.Equals, api.Complete)
 }
+
+// blockJobs blocks requests of n jobs, since all workers have just stopped accepting tasks
+// while a zone is evacuated.
+func blockJobs(t *testing.T, ls *loopState, workers, n int) {
+	for i := range workers {
+		connect(ls, fmt.Sprintf("v%d", i), uint64(100+i), []string{"salalah-kiln", "taqah-shed"}[i%2], []string{"cleft-assessor"}, wire.Load{Slots: 8, Leaving: true})
+	}
+	cfg := *ls.config
+	cfg.Version++
+	cfg.EvacuatedZones = []string{"taqah-shed"}
+	ls.setConfig(&cfg)
+	for range n {
+		ls.handleRequest(&request{op: wire.OpSubmit, key: newKey(t), team: "kiln", sub: job(1), ctx: context.Background(), deadline: ls.now().Add(5 * time.Second), reply: make(chan reply, 1)})
+	}
+}
+
+// Guards against an event loop that does nothing else but look for the workers of waiting
+// jobs: each tick, 10 ms, handles all of them again. With a search for each of 1,000 jobs,
+// a tick took 11 ms with 890 workers.
+func TestTickWithManyWaitingJobs(t *testing.T) {
+	t.Parallel()
+	const jobs = 1000
+	tick := func(workers int) time.Duration {
+		took, ok := postAndWait(context.Background(), newCluster(t).startConfigured("e1").Entry, func(ls *loopState) time.Duration {
+			blockJobs(t, ls, workers, jobs)
+			shortest := time.Hour
+			for range 10 {
+				start := time.Now()
+				ls.retryBlocked(ls.now())
+				shortest = min(shortest, time.Since(start))
+			}
+			qt.Check(t, ls.blockedRequests, qt.HasLen, jobs)
+			ls.blockedRequests = nil
+			return shortest
+		})
+		qt.Assert(t, ok, qt.IsTrue)
+		return took
+	}
+	few, many := tick(2), tick(890)
+	qt.Assert(t, many < 4*few, qt.IsTrue, qt.Commentf("%v with 2 workers, %v with 890", few, many))
+}
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -42,10 +42,24 @@
 	if !r.blockedUntil.IsZero() && !now.Before(r.blockedUntil) {
 		return false
 	}
-	if ls.draining || ls.removed || ls.checkType(r.sub) != nil || ls.supply(r.sub.Service).Slots > 0 {
+	if ls.draining || ls.removed || ls.checkType(r.sub) != nil {
 		return false
 	}
-	return !ls.ready || ls.anyAgentStarting(now) || ls.workerReturns(r.sub.Service, now)
+	return ls.serviceAwaitsWorkers(r.sub.Service, now)
+}
+
+// serviceAwaitsWorkers reports whether no worker of a service accepts tasks, although one
+// may be about to. Within retryBlocked it computes this once for each service, since it
+// takes about 10 µs with 890 workers and each tick handles all waiting jobs again.
+func (ls *loopState) serviceAwaitsWorkers(service string, now time.Time) bool {
+	if awaited, ok := ls.awaited[service]; ok {
+		return awaited
+	}
+	awaited := ls.supply(service).Slots == 0 && (!ls.ready || ls.anyAgentStarting(now) || ls.workerReturns(service, now))
+	if ls.awaited != nil {
+		ls.awaited[service] = awaited
+	}
+	return awaited
 }
 
 // anyAgentStarting reports whether an agent connected within serviceReportTimeout and
--- a/entry/request.go
+++ b/entry/request.go
@@ -281,6 +281,8 @@
 func (ls *loopState) retryBlocked(now time.Time) {
 	waiting := ls.blockedRequests
 	ls.blockedRequests = nil
+	ls.awaited = map[string]bool{}
+	defer func() { ls.awaited = nil }()
 	for _, r := range waiting {
 		if now.Before(r.blockedUntil) || r.awaitsWorkers {
 			ls.handleRequest(r)
