--- a/placement/health.go
+++ b/placement/health.go
@@ -78,8 +78,26 @@
 	return 0
 }
 
-// addToSums adds the health to the sums over the agents of a service.
-func (h *health) addToSums(v *service) {
+// updateEligible updates the sums of the agent's services after a change of its
+// eligibility.
+func (g *agent) updateEligible() {
+	for i := range g.memberships {
+		m := &g.memberships[i]
+		if eligible := g.eligible(i); eligible != m.counted {
+			if m.counted {
+				m.removeFromSums(&g.health)
+			}
+			if m.counted = eligible; eligible {
+				m.addToSums(&g.health)
+			}
+		}
+	}
+}
+
+// addToSums adds the health of an eligible agent to the sums of its service.
+func (m *membership) addToSums(h *health) {
+	v := m.service
+	v.eligibleAgents++
 	v.failureRateSum += h.failureRate
 	v.logSlowdownSum += h.logSlowdown.value
 	if h.readmissionLimit > 0 {
@@ -88,7 +106,9 @@
 }
 
 // removeFromSums reverts addToSums.
-func (h *health) removeFromSums(v *service) {
+func (m *membership) removeFromSums(h *health) {
+	v := m.service
+	v.eligibleAgents--
 	v.failureRateSum -= h.failureRate
 	v.logSlowdownSum -= h.logSlowdown.value
 	if h.readmissionLimit > 0 {
@@ -96,15 +116,29 @@
 	}
 }
 
+// others returns the number of other eligible agents of the service, and the sums of their
+// failure rates and of the logarithms of their slowdowns.
+func (m *membership) others(h *health) (n int, failureRates, logSlowdowns float64) {
+	v := m.service
+	if !m.counted {
+		return v.eligibleAgents, v.failureRateSum, v.logSlowdownSum
+	}
+	return v.eligibleAgents - 1, v.failureRateSum - h.failureRate, v.logSlowdownSum - h.logSlowdown.value
+}
+
 // updateHealth applies change to the health of the agent and updates the sums of
 // its services.
 func (g *agent) updateHealth(change func(h *health)) {
 	for i := range g.memberships {
-		g.health.removeFromSums(g.memberships[i].service)
+		if m := &g.memberships[i]; m.counted {
+			m.removeFromSums(&g.health)
+		}
 	}
 	change(&g.health)
 	for i := range g.memberships {
-		g.health.addToSums(g.memberships[i].service)
+		if m := &g.memberships[i]; m.counted {
+			m.addToSums(&g.health)
+		}
 	}
 }
 
@@ -174,9 +208,8 @@
 	h := &g.health
 	others := 0.0
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		if n := len(v.rankings[0].items) - 1; n > 0 {
-			others = max(others, (v.failureRateSum-h.failureRate)/float64(n))
+		if n, sum, _ := g.memberships[i].others(h); n > 0 {
+			others = max(others, sum/float64(n))
 		}
 	}
 	switch {
@@ -200,13 +233,11 @@
 		return ""
 	}
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		n := len(v.rankings[0].items) - 1
+		n, _, sum := g.memberships[i].others(h)
 		if n < 1 {
 			continue
 		}
-		others := (v.logSlowdownSum - h.logSlowdown.value) / float64(n)
-		if ratio := math.Exp(h.logSlowdown.value - others); ratio > ejectSlowdown {
+		if ratio := math.Exp(h.logSlowdown.value - sum/float64(n)); ratio > ejectSlowdown {
 			return fmt.Sprintf("%.1f times slower than the others", ratio)
 		}
 	}
@@ -214,12 +245,16 @@
 }
 
 // eject stops starts on an agent for a time, unless too many agents of one of its
-// services are ejected or in readmission. An agent in readmission is one of these
-// already, and can always be ejected again. Each ejection lasts twice as long as the
+// services are ejected or in readmission. Each ejection lasts twice as long as the
 // one before, up to Options.MaxEjectTime; the first after a MaxEjectTime without
-// ejection lasts Options.EjectTime again.
+// ejection lasts Options.EjectTime again. An agent in readmission that can't be ejected
+// again, since other agents of its services are no longer eligible, starts its
+// readmission anew.
 func (s *State) eject(g *agent, reason string, now time.Time) {
-	if g.health.readmissionLimit == 0 && !s.canEject(g) {
+	if !s.canEject(g) {
+		if g.health.readmissionLimit > 0 {
+			g.updateHealth(func(h *health) { h.readmissionLimit = 1 })
+		}
 		return
 	}
 	g.updateHealth(func(h *health) {
@@ -233,16 +268,27 @@
 	})
 }
 
-// canEject reports whether one more ejection keeps every service of the agent
-// within Options.EjectShare.
+// canEject reports whether every service of the agent is within Options.EjectShare with
+// the agent ejected. Only eligible agents count: if those in evacuated zones did, all
+// others of a service could be ejected at once. An agent that isn't eligible for any
+// service can't be ejected, since it would add to the share once it is eligible again.
 func (s *State) canEject(g *agent) bool {
+	eligible := false
 	for i := range g.memberships {
-		v := g.memberships[i].service
-		if float64(v.limitedAgents+1) > s.options.EjectShare*float64(len(v.rankings[0].items)) {
+		m := &g.memberships[i]
+		if !m.counted {
+			continue
+		}
+		eligible = true
+		limited := m.service.limitedAgents
+		if g.health.readmissionLimit == 0 {
+			limited++
+		}
+		if float64(limited) > s.options.EjectShare*float64(m.service.eligibleAgents) {
 			return false
 		}
 	}
-	return true
+	return eligible
 }
 
 // AgentStatus describes an agent for the status page, the list of workers and the
