dispatchd: Bound announced members by the file descriptors of the host

An entry keeps up to 4,096 members that announced themselves, and dials each. On the smallest host, with 3,075 descriptors, addresses at which nothing answers could take all of them while the dials are under way. The bound is now a third of the descriptors there: 1,025, more than the 925 members of the design size.

TestAnnouncedMembersOnASmallHost keeps 3 of 5 members; without the rule 5.

--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -104,8 +104,11 @@
 	CloseConnections func()
 	// WorkBytes limits the memory for the jobs in progress; 0 means no limit.
 	WorkBytes int64
-	Log       *decisions.Log
-	Metrics   tally.Scope
+	// MaxAnnounced limits the members that are kept although the store doesn't list them, since
+	// each is dialed; 0 means the default.
+	MaxAnnounced int
+	Log          *decisions.Log
+	Metrics      tally.Scope
 }
 
 // Dispatcher connects the scheduler of an entry with its agents, callers and
--- a/dispatchd/knowledge.go
+++ b/dispatchd/knowledge.go
@@ -16,9 +16,9 @@
 // row, every few seconds at most.
 const announcedRetention = 10 * time.Second
 
-// maxUnlisted bounds the members that an entry keeps although the store has not listed them.
-// Anyone who reaches the directory address can announce some. A deployment of the design
-// size has 925 members.
+// maxUnlisted bounds the members that an entry keeps although the store has not listed them,
+// unless Options.MaxAnnounced is lower. Anyone who reaches the directory address can announce
+// some. A deployment of the design size has 925 members.
 const maxUnlisted = 4096
 
 // directoryCache is what an entry has read from the store or from other
@@ -283,7 +283,7 @@
 
 // mergeMembers adds members that are not cached yet. If announced is not empty,
 // the members announced themselves, and cached rows that differ are replaced. It returns
-// the number of members that were refused because maxUnlisted is reached.
+// the number of members that were refused because of maxUnlisted.
 func (d *Dispatcher) mergeMembers(members []directory.Member, announced string) (refused int) {
 	changed := false
 	now := time.Now()
@@ -291,10 +291,10 @@
 	for _, m := range members {
 		old, known := d.cache.members[m.Name]
 		if !known {
-			if len(d.cache.unlisted) >= maxUnlisted && d.cache.forgetUnlisted(now) {
+			if len(d.cache.unlisted) >= d.maxUnlisted() && d.cache.forgetUnlisted(now) {
 				changed = true
 			}
-			if len(d.cache.unlisted) >= maxUnlisted {
+			if len(d.cache.unlisted) >= d.maxUnlisted() {
 				refused++
 				continue
 			}
@@ -324,7 +324,7 @@
 		d.metrics.membersRefused.Inc(int64(refused))
 	}
 	if log {
-		d.opts.Log.Add(decisions.Warn("announced members refused: too many of them are not in the store", "refused", refused, "bound", maxUnlisted))
+		d.opts.Log.Add(decisions.Warn("announced members refused: too many of them are not in the store", "refused", refused, "bound", d.maxUnlisted()))
 	}
 	if changed {
 		d.updateMembers()
@@ -332,6 +332,13 @@
 	return refused
 }
 
+func (d *Dispatcher) maxUnlisted() int {
+	if d.opts.MaxAnnounced > 0 {
+		return min(d.opts.MaxAnnounced, maxUnlisted)
+	}
+	return maxUnlisted
+}
+
 // forgetUnlisted forgets the members that the store does not list although it can be read,
 // and that have not announced themselves lately. It reports whether there were any.
 func (c *directoryCache) forgetUnlisted(now time.Time) bool {
--- a/dispatchd/knowledge_test.go
+++ b/dispatchd/knowledge_test.go
@@ -286,6 +286,22 @@
 	}
 }
 
+// Guards against more dials of announced members than the entry has file descriptors for.
+func TestAnnouncedMembersOnASmallHost(t *testing.T) {
+	d := newTestDispatcher(t)
+	d.opts.MaxAnnounced = 3
+	go func() {
+		for range d.events {
+		}
+	}()
+	for i := range 5 {
+		d.mergeMembers([]directory.Member{{Name: fmt.Sprint(i), Role: directory.RoleEntry, Directory: "10.1.0.1:7720"}}, "here")
+	}
+	qt.Assert(t, d.cache.members, qt.HasLen, 3)
+	d.opts.MaxAnnounced = 1 << 20
+	qt.Assert(t, d.maxUnlisted(), qt.Equals, maxUnlisted)
+}
+
 // silentStore answers no call.
 type silentStore struct{ directory.Store }
 
--- a/host/entry.go
+++ b/host/entry.go
@@ -31,7 +31,7 @@
 		Store: platform.NewStore(s.StoreAddress), ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig, EvacuatedZone: platform.EvacuatedZone, DirectoryAddress: s.ControlAddress, Seeds: s.Seeds,
 		GracePeriod: s.GracePeriod, CloseConnections: func() { callerServer.SetKeepAlivesEnabled(false) },
-		WorkBytes: p.limits.WorkBytes, Log: p.log, Metrics: p.metrics,
+		WorkBytes: p.limits.WorkBytes, MaxAnnounced: p.limits.Members, Log: p.log, Metrics: p.metrics,
 	})
 	var err error
 	callerServer, err = p.addServer("callers", s.CallerAddress, closeAfterResponse(d, platform.CallerHandler(d)), p.guard.ListenForCallers)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -64,6 +64,11 @@
 	fdShareCallers = 2
 	fdShareLinks   = 4
 	fdShareService = 16
+	// fdShareMembers is the part of the file descriptors for dials of members that have
+	// announced themselves and that the store doesn't list: one in fdShareMembers. On the
+	// smallest host, with 3,075 descriptors, these are 1,025, more than the 925 members of a
+	// deployment of the design size.
+	fdShareMembers = 3
 	// maxService is more than the hosts of a deployment that register in the directory
 	// of one entry or ask for it at the same time.
 	maxService = 256
@@ -129,6 +134,9 @@
 	// PacedBytesPerSecond is the rate at which large unfinished requests are read while
 	// they are many.
 	PacedBytesPerSecond int
+	// Members bounds the announced members that an entry dials although the store doesn't list
+	// them.
+	Members int
 	// WorkBytes bounds the memory for the jobs in progress at an entry; 0 means no bound.
 	WorkBytes int64
 }
@@ -143,6 +151,7 @@
 		UnfinishedBytes: defaultUnfinishedBytes,
 		Callers:         max(fds/fdShareCallers, 1), Links: max(fds/fdShareLinks, 1),
 		Service:   min(max(fds/fdShareService, 1), maxService),
+		Members:   max(fds/fdShareMembers, 1),
 		Greetings: maxGreetings, PacedBytesPerSecond: pacedBytesPerCore,
 	}
 	if r.MemoryBytes > 0 {
