intake: Close silent connections at the link address sooner

When 64 connections waited for their first message, the listener gave the oldest one 50 ms before it was closed for a new one, so that it accepted at most 1,280 connections per second.

A connection of which nothing has arrived, read or not, is closed before others and gets 5 ms. Others still get 50 ms, and are closed only if there is none of the first kind; an entry whose message is read late keeps its connection then.

TestConnectionsWithoutAGreetingDoNotDelayEntries failed before (the third connection isn't accepted), and fails if the bytes that have arrived don't count.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // errBusy is the cause of the error of a read that the budget does not allow.
@@ -23,6 +24,8 @@
 	closed   chan struct{}
 	// index is the position in listener.conns, or -1; guarded by guard.mu.
 	index int
+	// arrived says that bytes of the first message have been seen; guarded by guard.mu.
+	arrived bool
 	// greeted says whether the program has called Greeted.
 	greeted atomic.Bool
 
@@ -321,6 +324,20 @@
 	return s, !c.greeted.Load()
 }
 
+// bytesArrived reports whether the peer has sent anything, read or not.
+func (c *Conn) bytesArrived() bool {
+	if c.snapshot().held > 0 {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	controlErr := raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return controlErr == nil && err == nil && unread > 0
+}
+
 // unservedState is the state of a connection that may be closed for a new one.
 func (c *Conn) unservedState() (connState, bool) {
 	s := c.snapshot()
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -178,8 +178,38 @@
 		s, _ := state(l.conns[i])
 		return s.young
 	}
-	return l.greetingsFull() && young((*Conn).greetingState, olderGreeting) ||
-		len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
+	if l.greetingsFull() {
+		if _, young := l.greetingToClose(l.guard.now()); young {
+			return true
+		}
+	}
+	return len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
+}
+
+// greetingToClose returns the index of the connection that is closed when too many wait for
+// their first message, or -1, and whether it is young. It is the oldest one of which nothing
+// has arrived, or the oldest one if there is none. The caller holds guard.mu.
+func (l *listener) greetingToClose(now time.Duration) (index int, young bool) {
+	for {
+		i := choose(now, len(l.conns), func(i int) (connState, bool) {
+			s, waits := l.conns[i].greetingState()
+			return s, waits && !l.conns[i].arrived
+		}, olderGreeting)
+		if i < 0 {
+			break
+		}
+		c := l.conns[i]
+		if c.arrived = c.bytesArrived(); !c.arrived {
+			s, _ := c.greetingState()
+			return i, now-s.acceptedAt < min(l.guard.minSilence, minGreetingAge)
+		}
+	}
+	i := choose(now, len(l.conns), func(i int) (connState, bool) { return l.conns[i].greetingState() }, olderGreeting)
+	if i < 0 {
+		return -1, false
+	}
+	s, _ := l.conns[i].greetingState()
+	return i, s.young
 }
 
 // greetingsFull reports whether no further connection may wait for its first message. The
@@ -201,8 +231,11 @@
 	c := &Conn{TCPConn: tcp, guard: g, listener: l, closed: make(chan struct{}), state: connState{acceptedAt: now, lastRead: now}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.greetingsFull() && l.evict(now, (*Conn).greetingState, olderGreeting) {
-		closed = append(closed, tooManyGreetings)
+	if l.greetingsFull() {
+		if i, _ := l.greetingToClose(now); i >= 0 {
+			l.closeAt(i)
+			closed = append(closed, tooManyGreetings)
+		}
 	}
 	if len(l.conns) >= l.bound {
 		if !l.evict(now, (*Conn).unservedState, silentLonger) {
@@ -224,10 +257,15 @@
 	if i < 0 {
 		return false
 	}
+	l.closeAt(i)
+	return true
+}
+
+// closeAt closes the connection with an index. The caller holds guard.mu.
+func (l *listener) closeAt(i int) {
 	c := l.conns[i]
 	l.remove(c)
-	c.end()
-	return true
+	_ = c.end()
 }
 
 // remove removes a connection unless that was done before. The caller holds guard.mu.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -664,6 +664,46 @@
 	qt.Assert(t, <-read, qt.IsNil)
 }
 
+// Load pattern: a burst of connections that send nothing, to an agent that reads late. Guards
+// against a listener that waits for each of them while entries queue up behind, and against an
+// entry that is closed in place of one of them because its first message was read late.
+func TestConnectionsWithoutAGreetingDoNotDelayEntries(t *testing.T) {
+	g := NewGuard(Options{Limits: defaults})
+	g.minSilence = time.Hour
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := g.ListenForEntries(raw)
+	defer func() { _ = l.Close() }()
+	const hello = "hello message"
+	accepted := make(chan net.Conn)
+	var entry net.Conn
+	for i := range 10 * defaults.Greetings {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = client.Close() }()
+		if i == 0 {
+			send(client, hello)
+		}
+		go func() {
+			conn, _ := l.Accept()
+			accepted <- conn
+		}()
+		select {
+		case conn := <-accepted:
+			if i == 0 {
+				entry = conn
+				for !entry.(*Conn).bytesArrived() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("connection %d isn't accepted", i)
+		}
+	}
+	_, err = io.ReadFull(entry, make([]byte, len(hello)))
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // Guards against a peer that reads slowly and is cut off in the middle of a long answer, and
 // against one that reads nothing and is written to without end.
 func TestWriteTimeout(t *testing.T) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -69,6 +69,10 @@
 	// new one. In a burst of connections the requests of the first ones have not been read
 	// when the last ones are accepted.
 	minSilence = 50 * time.Millisecond
+	// minGreetingAge takes the place of minSilence for a connection whose first message
+	// hasn't begun to arrive: it is a few round trips. With minSilence, 1,280 connections per
+	// second without a message would fill the backlog of the listener and keep entries out.
+	minGreetingAge = 5 * time.Millisecond
 	// messageTimeout is how long a message of an entry may be unfinished before its
 	// connection is closed for a new one. Entries and agents take each other for lost after
 	// half a second of silence.
