entry: Bound the jobs that wait for workers

Cause: a job that waits up to 2 s for a worker that is expected to accept tasks is neither in the queue nor in the job table, so no limit of tasks or bytes held for it. When all workers outside evacuated zones stop accepting tasks, all jobs that arrive were kept, with bodies of up to 2 MiB each.

Waiting jobs now have the limits of accepted ones: max_queued_tasks tasks, and 256 MiB of task bodies together with the accepted jobs. A job beyond them is refused with "too many jobs wait for a worker that accepts tasks" and Retry-After 2 s, before anything of it was queued; explain says the same.

TestWaitingJobsAreBounded fails before: all 6 jobs of 200 tasks and all 6 of 64 MiB wait, instead of 5 and 4.

--- a/entry/core.go
+++ b/entry/core.go
@@ -63,6 +63,9 @@
 	// queuedTasks counts the queued tasks by service and team.
 	queuedTasks     map[[2]string]int
 	blockedRequests []*request
+	// awaitingTasks and awaitingBytes are the numbers of tasks and of bytes of task bodies of
+	// the blocked requests that wait for workers.
+	awaitingTasks, awaitingBytes int
 	// awaited caches serviceAwaitsWorkers during retryBlocked; it is nil otherwise.
 	awaited       map[string]bool
 	delayedTasks  []delayedTask
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -226,3 +226,35 @@
 	few, many := tick(2), tick(890)
 	qt.Assert(t, many < 4*few, qt.IsTrue, qt.Commentf("%v with 2 workers, %v with 890", few, many))
 }
+
+// Guards against memory without a bound: jobs that wait for workers aren't in the queue, so
+// that no limit of admission holds for them.
+func TestWaitingJobsAreBounded(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).startConfigured("e1")
+	many, large := job(200), job(1)
+	large.Tasks[0] = make([]byte, maxRunningBytes/4)
+	for _, tc := range []struct {
+		sub  *api.Submission
+		want int // the number of jobs that wait; MaxQueuedTasks is 1,000
+	}{{many, 5}, {large, 4}} {
+		var reason api.Reason
+		waiting, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) []int {
+			if len(ls.agents) == 0 {
+				blockJobs(t, ls, 2, 0)
+			}
+			ls.blockedRequests = nil
+			ls.retryBlocked(ls.now())
+			done := make(chan reply, 10)
+			for range 6 {
+				ls.handleRequest(&request{op: wire.OpSubmit, key: newKey(t), team: "kiln", sub: tc.sub, ctx: context.Background(), deadline: ls.now().Add(5 * time.Second), reply: done})
+			}
+			before := len(ls.blockedRequests)
+			ls.retryBlocked(ls.now())
+			reason = ls.admitToCopy(tc.sub, time.Second).explanation.Reason
+			return []int{before, len(ls.blockedRequests)}
+		})
+		qt.Check(t, waiting, qt.DeepEquals, []int{tc.want, tc.want})
+		qt.Check(t, reason, qt.Equals, api.ReasonOverload)
+	}
+}
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -92,6 +92,9 @@
 	case ls.draining && ls.hasOtherEntries():
 		v = api.Refuse(api.ReasonDraining, "the entry is shutting down, the other entries take new jobs")
 	case clone.awaitsWorkers(r, now):
+		if v = clone.refuseToWait(s); v != nil {
+			break
+		}
 		x.Decision, x.Message = ingress.Waits, "no worker of the service accepts tasks now, and the job waits up to 2 s for one that is expected to"
 	default:
 		v, class = clone.admit(r, false, now)
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -73,11 +73,34 @@
 	return false
 }
 
+// refuseToWait returns the refusal of a job that would have to wait for workers, or nil if
+// it may wait. Waiting jobs have the limits of accepted ones, to which admission can't hold
+// them before a worker is known.
+func (ls *loopState) refuseToWait(s *api.Submission) *api.Verdict {
+	if ls.awaitingTasks+len(s.Tasks) <= ls.e.options.Settings.MaxQueuedTasks &&
+		ls.jobs.RunningBytes()+ls.awaitingBytes+taskBytes(s) <= maxRunningBytes {
+		return nil
+	}
+	v := api.Refuse(api.ReasonOverload, "too many jobs wait for a worker that accepts tasks")
+	v.RetryAfter = unavailableRetryAfter
+	return v
+}
+
 // awaitWorkers lets a job wait until a worker of its service is known, for at most
 // maxBlockedWait.
 func (ls *loopState) awaitWorkers(r *request, now time.Time) {
 	ls.block(r, now)
 	r.awaitsWorkers = true
+	ls.awaitingTasks += len(r.sub.Tasks)
+	ls.awaitingBytes += taskBytes(r.sub)
+}
+
+func taskBytes(s *api.Submission) int {
+	n := 0
+	for _, t := range s.Tasks {
+		n += len(t)
+	}
+	return n
 }
 
 // blockedTooLong is the verdict of a request that has waited for maxBlockedWait
--- a/entry/request.go
+++ b/entry/request.go
@@ -280,7 +280,7 @@
 // waited too long.
 func (ls *loopState) retryBlocked(now time.Time) {
 	waiting := ls.blockedRequests
-	ls.blockedRequests = nil
+	ls.blockedRequests, ls.awaitingTasks, ls.awaitingBytes = nil, 0, 0
 	ls.awaited = map[string]bool{}
 	defer func() { ls.awaited = nil }()
 	for _, r := range waiting {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -71,6 +71,10 @@
 		return
 	}
 	if !maybeStarted && ls.awaitsWorkers(r, now) {
+		if v := ls.refuseToWait(r.sub); v != nil {
+			ls.refuse(r, v, false, now)
+			return
+		}
 		ls.awaitWorkers(r, now)
 		return
 	}
