intake: Test arrived hellos among others that have arrived

Since connections of which nothing has arrived are closed first, TestArrivedGreetingIsRead, whose other connections send nothing, no longer showed that the oldest one gets 50 ms if all have sent something. It runs with both kinds of others now; the second fails if that time isn't given.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -729,36 +729,38 @@
 }
 
 // Guards against an entry that is closed for a newer connection although its first message
-// has arrived and is about to be read.
+// has arrived and is about to be read, whether the others have sent something or not.
 func TestArrivedGreetingIsRead(t *testing.T) {
-	g := NewGuard(Options{Limits: defaults})
-	g.minSilence = 10 * time.Second
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	l := g.ListenForEntries(raw)
-	defer func() { _ = l.Close() }()
-	const hello = "hello message"
-	read := make(chan error, 1)
-	for i := range defaults.Greetings + 1 {
-		client, err := net.Dial("tcp", raw.Addr().String())
-		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = client.Close() }()
-		if i == 0 {
-			send(client, hello)
-		}
-		conn, err := l.Accept()
+	for _, othersSend := range []bool{false, true} {
+		g := NewGuard(Options{Limits: defaults})
+		g.minSilence = 10 * time.Second
+		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
-		if i > 0 {
-			continue
+		l := g.ListenForEntries(raw)
+		defer func() { _ = l.Close() }()
+		const hello = "hello message"
+		read := make(chan error, 1)
+		for i := range defaults.Greetings + 1 {
+			client, err := net.Dial("tcp", raw.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = client.Close() }()
+			if i == 0 || othersSend {
+				send(client, hello)
+			}
+			conn, err := l.Accept()
+			qt.Assert(t, err, qt.IsNil)
+			if i > 0 {
+				continue
+			}
+			go func() {
+				time.Sleep(minSilence / 2)
+				_, err := io.ReadFull(conn, make([]byte, len(hello)))
+				conn.(*Conn).Greeted(0)
+				read <- err
+			}()
 		}
-		go func() {
-			time.Sleep(minSilence / 2)
-			_, err := io.ReadFull(conn, make([]byte, len(hello)))
-			conn.(*Conn).Greeted(0)
-			read <- err
-		}()
+		qt.Assert(t, <-read, qt.IsNil, qt.Commentf("others send: %v", othersSend))
 	}
-	qt.Assert(t, <-read, qt.IsNil)
 }
 
 // Load pattern: a burst of connections that send nothing, to an agent that reads late. Guards
