placement: End ejections beyond the share when agents are excluded

Cause: the share of ejected agents was checked only when an agent is ejected. Three of ten agents may be ejected; if the zones of the other seven are then evacuated, or those are drained, all remaining agents are ejected, for up to a minute, and callers get refusals.

When the configuration changes, ejections beyond the share of the agents that may still get tasks end, those first that would end first. The agents are then in readmission with one task at a time.

Of TestOnlyEligibleAgentsCountInEjectShare, two cases with ejections before the exclusion fail without this change (3 ejected, 0 and 2 wanted), and the case "ejected before the evacuation" of TestRefusalsDuringEvacuation, whose job was refused. The case of waiting for an ejected worker now has the other workers of its zone leave, which doesn't end an ejection.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -58,13 +58,24 @@
 			connect(ls, "w1", 21, home, nil, leaving)
 		}, waits + nothingOutsideTakes, nothingOutsideTakes},
 		{"backend server down", func(ls *loopState, now time.Time) { ls.updateLoad(ls.agents[11], leaving, nil, now) }, waits + nothingOutsideTakes, nothingOutsideTakes},
+		{"ejected, the other workers of the zone leave", func(ls *loopState, now time.Time) {
+			for i := range 3 {
+				connect(ls, fmt.Sprintf("w%d", i+5), uint64(i+15), home, []string{"cleft-assessor"}, load)
+			}
+			for range 6 {
+				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
+			}
+			for i := range 3 {
+				ls.updateLoad(ls.agents[uint64(i+15)], leaving, nil, now.Add(-time.Minute))
+			}
+		}, waits + nothingOutsideTakes, accepted},
 		{"ejected before the evacuation", func(ls *loopState, now time.Time) {
 			evacuate(ls)
 			for range 6 {
 				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
 			}
 			evacuate(ls, other)
-		}, waits + nothingOutsideTakes, accepted},
+		}, accepted, accepted},
 		{"only worker fails tasks", func(ls *loopState, now time.Time) {
 			for range 6 {
 				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
--- a/placement/health.go
+++ b/placement/health.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -291,6 +294,32 @@
 	return eligible
 }
 
+// endExcessEjections ends the ejections beyond Options.EjectShare that remain after the
+// configuration has excluded other agents of a service, those that end first before the
+// others. The agents are then in readmission.
+func (s *State) endExcessEjections() {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		v := s.services[name]
+		var ejected []*agent
+		for _, it := range v.rankings[0].items {
+			if it.agent.memberships[it.membership].counted && it.agent.health.ejected(s.now) {
+				ejected = append(ejected, it.agent)
+			}
+		}
+		excess := len(ejected) - int(s.options.EjectShare*float64(v.eligibleAgents))
+		if excess <= 0 {
+			continue
+		}
+		slices.SortFunc(ejected, func(a, b *agent) int {
+			return cmp.Or(a.health.ejectedUntil.Compare(b.health.ejectedUntil), cmp.Compare(a.id, b.id))
+		})
+		for _, g := range ejected[:excess] {
+			g.updateHealth(func(h *health) { h.ejectedUntil = s.now })
+			s.updateRank(g)
+		}
+	}
+}
+
 // AgentStatus describes an agent for the status page, the list of workers and the
 // metrics.
 type AgentStatus struct {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -222,6 +222,7 @@
 		}
 		s.updateRank(g)
 	}
+	s.endExcessEjections()
 }
 
 // HasFreeSlot reports whether an agent has an estimated free slot for a task of the
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -350,6 +350,14 @@
 			s.SetAllowedWorkers(nil)
 			fail(s, 4, 5, 6)
 		}, true, 3},
+		{"ejected before the exclusion", func(s *State) {
+			fail(s, 1, 2, 3)
+			exclude(s)
+		}, true, 0},
+		{"ejected before the exclusion of few", func(s *State) {
+			fail(s, 1, 2, 3)
+			s.SetAllowedWorkers(func(w, _, _ string) bool { return w != "w8" && w != "w9" && w != "w10" })
+		}, true, 2},
 		// The three are ejected before the exclusion; afterwards none is ejected again.
 		{"failures in readmission", func(s *State) {
 			fail(s, 1, 2, 3)
