cli: Refuse a negative deadline of explain

Cause: `explain -deadline -2s` explained the job with its default deadline, as if the flag weren't there: only a positive value replaced the one in the file, and on the platform a header was sent only for it. Values below 1 ms were rounded to 0 with the same effect.

Both are now usage errors (exit code 2). The new case of TestExplainOwnInterface fails before.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -94,6 +94,9 @@
 	if f.token != "" && f.query.Host+f.query.Path != "" {
 		return usageError{errors.New("-token is for the product's own interface, -host and -path are for the platform")}
 	}
+	if f.deadline != 0 && f.deadline < time.Millisecond {
+		return usageError{errors.Errorf("-deadline is %v, it must be at least 1ms", f.deadline)}
+	}
 	var err error
 	if f.query.Job, err = std.readInput(file); err != nil {
 		return usageError{err}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -136,6 +136,7 @@
 		{"refused by another release", a, "of another release", []string{job}, ExitUsage, []string{"no colour"}},
 		{"no entry", unreachable, "operator", []string{job}, ExitFailed, []string{"no entry could be reached"}},
 		{"not permitted", a, "team", []string{job}, ExitFailed, []string{"operator's bearer token"}},
+		{"deadline in the past", a, "operator", []string{"-deadline", "-2s", job}, ExitUsage, []string{"-deadline is -2s"}},
 		{"both interfaces", a, "operator", []string{"-host", "jobs.example", job}, ExitUsage, []string{"-token is for"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
