ingress: Report a job that is too large as a fault of its file

Cause: SubmissionFaults didn't check the size of the body, although it states to return no fault exactly if an entry accepts the body. `sesamelift explain` sends the job without white space, so it explained a file that an entry refuses with 413, or ended with exit code 1 instead of 2 on that answer.

TestSubmissionFaults has a body above 2 MiB and fails before.

--- a/ingress/explain_test.go
+++ b/ingress/explain_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/api"
 )
 
 // Guards against an explanation for callers, for a malformed job, or more often than the
@@ -41,10 +43,11 @@
 			{2, `field "service": got number, want string`}, {3, `field "type" is missing`}, {4, "the job has no tasks"},
 			{5, `unknown field "servis"`}, {6, "deadline_ms is -1: the deadline is in the past"}, {1, `field "team" is missing`},
 		},
-		"{\n\"service\":\"s\",}":  {{2, "invalid character '}' looking for beginning of object key string"}},
-		"[]":                      {{1, "the submission isn't an object"}},
-		"":                        {{1, "unexpected end of JSON input"}},
-		submission(1, 0) + "\n{}": {{2, "invalid character '{' after top-level value"}},
+		"{\n\"service\":\"s\",}": {{2, "invalid character '}' looking for beginning of object key string"}},
+		"[]":                     {{1, "the submission isn't an object"}},
+		"":                       {{1, "unexpected end of JSON input"}},
+		submission(1, 0) + strings.Repeat(" ", api.MaxJobBytes): {{1, "the body has more than 2097152 bytes"}},
+		submission(1, 0) + "\n{}":                               {{2, "invalid character '{' after top-level value"}},
 	} {
 		got := SubmissionFaults([]byte(body))
 		qt.Check(t, len(got), qt.Equals, len(want), qt.Commentf("%s: %v", body, got))
--- a/ingress/faults.go
+++ b/ingress/faults.go
@@ -22,6 +22,9 @@
 // SubmissionFaults returns every fault for which an entry refuses a body as malformed, apart
 // from those after a syntax error. It returns none exactly if the entry accepts the body.
 func SubmissionFaults(body []byte) []Fault {
+	if len(body) > api.MaxJobBytes {
+		return []Fault{{1, fmt.Sprintf("the body has more than %d bytes", api.MaxJobBytes)}}
+	}
 	sub, v := decodeSubmission(body)
 	if v == nil {
 		v = sub.Validate()
