entry: Accept no job for a lost worker that may not serve it

Cause: for 2 s after the connection of an agent is lost, its slots count, so that jobs wait for its return. Only workers in evacuated zones were left out, not those that the configuration drains or doesn't permit to serve the service. A job was then accepted and waited for its deadline although nothing would run it, instead of being refused at once with a true "not run".

The slots now count only if the configuration permits the worker to serve the service, as for connected workers.

The new case of TestRefusalsDuringEvacuation, a worker listed for another service whose connection is lost, fails before: the job is accepted.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -105,6 +105,13 @@
 			c.Workers = []config.Worker{{Name: "w1", Drain: true}}
 			ls.setConfig(&c)
 		}, allEvacuated, allEvacuated},
+		{"connection of a worker that may not serve the service just lost", func(ls *loopState, now time.Time) {
+			c := *ls.config
+			c.Version++
+			c.Workers = []config.Worker{{Name: "w1", Services: []string{"other"}}}
+			ls.setConfig(&c)
+			ls.markAgentDisconnected(ls.agents[11], now)
+		}, allEvacuated, allEvacuated},
 		{"no zone evacuated, backend servers down", func(ls *loopState, now time.Time) {
 			evacuate(ls)
 			for _, ag := range ls.agents {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -151,12 +151,12 @@
 }
 
 // disconnectedSlots counts the slots of agents whose connection is lost but which may
-// reconnect. When all connections are replaced at once, jobs wait for the
+// reconnect, and which the configuration permits to serve the service. When all connections are replaced at once, jobs wait for the
 // agents and are not refused for lack of workers.
 func (ls *loopState) disconnectedSlots(service string) int {
 	n := 0
 	for _, ag := range ls.agents {
-		if ag.conn == nil && !ag.load.Leaving && !ls.config.Evacuated(ag.zone) && slices.Contains(ag.services, service) {
+		if ag.conn == nil && !ag.load.Leaving && slices.Contains(ag.services, service) && ls.permitted(ag.worker, ag.zone, service) {
 			n += int(ag.load.Slots)
 		}
 	}
