entry: Forget the former name of an agent that reconnects under another

Cause: workers are remembered by name until 5 s after their connection is lost. An agent that reconnected with the same incarnation under another name left its former name behind as connected, which was never removed: memory grew with each name, and a name outside the evacuated zones kept the refusal "the workers that serve ... are in evacuated zones" from being given. agentByWorker kept the names as well, so that such an agent counted several times for readiness.

TestRenamedWorkerIsForgotten fails before: 100 names in both maps instead of 1.

--- a/entry/agents.go
+++ b/entry/agents.go
@@ -102,6 +102,12 @@
 	} else if ag.conn != nil {
 		ls.markAgentDisconnected(ag, now)
 	}
+	if ag.worker != h.Name && ls.agentByWorker[ag.worker] == a.id {
+		// The agent has reconnected under another name.
+		delete(ls.agentByWorker, ag.worker)
+		delete(ls.workers, ag.worker)
+		clear(ls.outlooks)
+	}
 	ag.worker, ag.zone, ag.services, ag.load, ag.conn, ag.connectedAt = h.Name, h.Zone, h.Services, h.Load, a.conn, now
 	ag.pendingSettles, ag.sentRosterVersion, ag.sentConfigVersion = 0, h.RosterVersion, 0
 	ls.placement.AgentConnected(placement.Agent{ID: a.id, Worker: h.Name, Zone: h.Zone, Services: h.Services, Load: h.Load}, now)
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -276,3 +276,18 @@
 		qt.Check(t, reason, qt.Equals, api.ReasonOverload)
 	}
 }
+
+// Guards against memory without a bound, and against a worker that is never forgotten: an
+// agent that reconnects under another name leaves none of its former names behind.
+func TestRenamedWorkerIsForgotten(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).startConfigured("e1")
+	got, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) []int {
+		for i := range 100 {
+			connect(ls, fmt.Sprint("v", i), 11, "salalah-kiln", []string{"cleft-assessor"}, wire.Load{Slots: 8})
+			ls.agents[11].conn = nil
+		}
+		return []int{len(ls.workers), len(ls.agentByWorker)}
+	})
+	qt.Assert(t, got, qt.DeepEquals, []int{1, 1})
+}
