cli: Compare no unknown end of a job with its deadline

Cause: an entry of the product's own interface leaves expected_end_ms at 0 if the end isn't known, because the job waits for a worker or no task of the service has run. `explain -all` then printed an end of 0 ms and "true" as ON TIME.

Both columns say "unknown" then. TestComparisonOfUnknownEnd fails before.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -70,8 +70,8 @@
 
 type comparisonRow struct {
 	zone, decision, message string
-	endMS, waitMS           int64
-	inTime                  bool
+	end, onTime             string
+	waitMS                  int64
 	ahead, workers          int
 	freeShare               float64
 	configVersion           uint64
@@ -236,7 +236,7 @@
 
 func (e platformExplanation) row() comparisonRow {
 	return comparisonRow{
-		zone: e.Zone, decision: string(e.Decision), message: e.Message, endMS: e.ExpectedEndMS, inTime: e.OnTime, ahead: e.Ahead.Jobs,
+		zone: e.Zone, decision: string(e.Decision), message: e.Message, end: fmt.Sprint(e.ExpectedEndMS, " ms"), onTime: fmt.Sprint(e.OnTime), ahead: e.Ahead.Jobs,
 		waitMS: e.Ahead.ExpectedWaitMS, freeShare: e.Capacity.FreeShare, workers: e.Capacity.UsableWorkers, configVersion: e.ConfigVersion,
 	}
 }
@@ -272,7 +272,7 @@
 	fmt.Fprintln(t, "ENTRY\tZONE\tDECISION\tEND\tON TIME\tAHEAD\tWAIT\tFREE\tWORKERS\tCONFIG\tREASON")
 	for _, a := range answers {
 		r := a.Explanation.row()
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d ms\t%v\t%d\t%d ms\t%.0f%%\t%d\t%d\t%s\n", a.Explanation.entryName(), r.zone, r.decision, r.endMS, r.inTime, r.ahead,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%.0f%%\t%d\t%d\t%s\n", a.Explanation.entryName(), r.zone, r.decision, r.end, r.onTime, r.ahead,
 			r.waitMS, 100*r.freeShare, r.workers, r.configVersion, r.message)
 	}
 	if err := t.Flush(); err != nil {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -151,3 +151,17 @@
 		})
 	}
 }
+
+// Guards against a comparison that says "on time" of a job whose end isn't known, since it
+// waits for a worker.
+func TestComparisonOfUnknownEnd(t *testing.T) {
+	var out strings.Builder
+	std := &streams{out: &out}
+	qt.Assert(t, std.printComparison([]entryExplanation{
+		{Explanation: ownExplanation{&ingress.Explanation{Entry: "e1", Zone: "z1", Decision: ingress.Waits, DeadlineMS: 2000}}},
+		{Explanation: ownExplanation{&ingress.Explanation{Entry: "e2", Zone: "z1", Decision: ingress.Placed, DeadlineMS: 2000, ExpectedEndMS: 90}}},
+	}, nil), qt.IsNil)
+	rows := strings.Split(out.String(), "\n")
+	qt.Check(t, strings.Fields(rows[1])[:5], qt.DeepEquals, []string{"e1", "z1", "waits", "unknown", "unknown"})
+	qt.Check(t, strings.Fields(rows[2])[:6], qt.DeepEquals, []string{"e2", "z1", "placed", "90", "ms", "true"})
+}
--- a/cli/explainown.go
+++ b/cli/explainown.go
@@ -46,9 +46,13 @@
 
 func (e ownExplanation) row() comparisonRow {
 	r := comparisonRow{
-		zone: e.Zone, decision: string(e.Decision), message: e.Message, endMS: e.ExpectedEndMS, inTime: e.ExpectedEndMS <= e.DeadlineMS && e.Decision != ingress.Refused,
+		zone: e.Zone, decision: string(e.Decision), message: e.Message, end: fmt.Sprint(e.ExpectedEndMS, " ms"), onTime: fmt.Sprint(e.ExpectedEndMS <= e.DeadlineMS && e.Decision != ingress.Refused),
 		ahead: e.Ahead.LastTask, waitMS: e.Admission.ExpectedWaitMS, configVersion: e.ConfigVersion, freeShare: float64(e.freeSlots()) / float64(max(e.Supply.Slots, 1)),
 	}
+	if e.ExpectedEndMS == 0 && e.Decision != ingress.Refused {
+		// The job waits for a worker, or no run time is known yet.
+		r.end, r.onTime = "unknown", "unknown"
+	}
 	if len(e.Tasks) > 0 {
 		for _, c := range e.Tasks[0].Candidates {
 			if c.Excluded == "" {
