entry: Wait for a worker after at most one restart of its agent a minute

Cause: each new incarnation of an agent made its worker count as about to return for another 5 s, even if it never accepted a task. While the agent of the only usable worker restarted every few seconds, each job of its service waited 2 s and was then refused.

A restart now counts only if none has counted within the last minute, or if the worker has accepted tasks since.

TestRestartingAgentIsNotAwaitedForever fails before: after each of 20 restarts at intervals of 4 s the worker is awaited; now after 3 of them.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -291,3 +291,25 @@
 	})
 	qt.Assert(t, got, qt.DeepEquals, []int{1, 1})
 }
+
+// Guards against jobs that wait in vain, each for 2 s, for a worker whose agent restarts again
+// and again without accepting tasks.
+func TestRestartingAgentIsNotAwaitedForever(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).startConfigured("e1")
+	got, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) (awaited []bool) {
+		connect(ls, "w1", 11, "salalah-kiln", []string{"cleft-assessor"}, wire.Load{Slots: 8})
+		now := ls.now()
+		for i := range 20 {
+			now = now.Add(4 * time.Second)
+			ls.recordWorker(&agentState{id: uint64(12 + i), worker: "w1", zone: "salalah-kiln", conn: &transport.Conn{}, load: wire.Load{Leaving: true}}, now)
+			awaited = append(awaited, ls.workerReturns("cleft-assessor", now.Add(time.Second)))
+		}
+		return awaited
+	})
+	// The worker is awaited from when it stops accepting tasks, from the next restart, and from
+	// the one a minute after that.
+	want := make([]bool, 20)
+	want[0], want[1], want[16] = true, true, true
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -10,6 +10,11 @@
 // agent that finds its backend server down checks it again within its health interval.
 const workerReturnTimeout = 5 * time.Second
 
+// restartAwaitInterval is the least time between two restarts of an agent that each make its
+// worker count as about to return, while the worker accepts no tasks in between. Otherwise
+// jobs would wait in vain for an agent that restarts again and again.
+const restartAwaitInterval = time.Minute
+
 // knownWorker is what an entry knows of a worker across the connections and incarnations
 // of its agent. It is kept for workerReturnTimeout after the connection is lost.
 type knownWorker struct {
@@ -23,6 +28,9 @@
 	// configuration began to permit them although it didn't accept any; zero while it
 	// accepts tasks.
 	unavailableSince time.Time
+	// restartAwaited is when a restart of the agent last set unavailableSince; zero once the
+	// worker has accepted tasks.
+	restartAwaited time.Time
 	// configVersion is that of the configuration that the agent had at its last report.
 	configVersion uint64
 }
@@ -45,8 +53,8 @@
 		ls.workers[ag.worker] = w
 	}
 	before := *w
-	if w.agent != ag.id && !w.unavailableSince.IsZero() {
-		w.unavailableSince = now
+	if w.agent != ag.id && !w.unavailableSince.IsZero() && now.Sub(w.restartAwaited) >= restartAwaitInterval {
+		w.unavailableSince, w.restartAwaited = now, now
 	}
 	w.agent, w.zone, w.connected, w.configVersion = ag.id, ag.zone, ag.conn != nil, ag.load.ConfigVersion
 	if len(ag.services) > 0 {
@@ -54,7 +62,7 @@
 	}
 	switch {
 	case w.connected && !ag.load.Leaving && len(ag.services) > 0:
-		w.unavailableSince = time.Time{}
+		w.unavailableSince, w.restartAwaited = time.Time{}, time.Time{}
 	case w.unavailableSince.IsZero():
 		w.unavailableSince = now
 	}
