--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -58,13 +58,24 @@
 			connect(ls, "w1", 21, home, nil, leaving)
 		}, waits + nothingOutsideTakes, nothingOutsideTakes},
 		{"backend server down", func(ls *loopState, now time.Time) { ls.updateLoad(ls.agents[11], leaving, nil, now) }, waits + nothingOutsideTakes, nothingOutsideTakes},
+		{"ejected, the other workers of the zone leave", func(ls *loopState, now time.Time) {
+			for i := range 3 {
+				connect(ls, fmt.Sprintf("w%d", i+5), uint64(i+15), home, []string{"cleft-assessor"}, load)
+			}
+			for range 6 {
+				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
+			}
+			for i := range 3 {
+				ls.updateLoad(ls.agents[uint64(i+15)], leaving, nil, now.Add(-time.Minute))
+			}
+		}, waits + nothingOutsideTakes, accepted},
 		{"ejected before the evacuation", func(ls *loopState, now time.Time) {
 			evacuate(ls)
 			for range 6 {
 				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
 			}
 			evacuate(ls, other)
-		}, waits + nothingOutsideTakes, accepted},
+		}, accepted, accepted},
 		{"only worker fails tasks", func(ls *loopState, now time.Time) {
 			for range 6 {
 				ls.placement.TaskEnded(11, placement.TaskEnd{Service: "cleft-assessor", Outcome: wire.OutcomeFailed}, now)
@@ -94,6 +105,13 @@
 			c.Workers = []config.Worker{{Name: "w1", Drain: true}}
 			ls.setConfig(&c)
 		}, allEvacuated, allEvacuated},
+		{"connection of a worker that may not serve the service just lost", func(ls *loopState, now time.Time) {
+			c := *ls.config
+			c.Version++
+			c.Workers = []config.Worker{{Name: "w1", Services: []string{"other"}}}
+			ls.setConfig(&c)
+			ls.markAgentDisconnected(ls.agents[11], now)
+		}, allEvacuated, allEvacuated},
 		{"no zone evacuated, backend servers down", func(ls *loopState, now time.Time) {
 			evacuate(ls)
 			for _, ag := range ls.agents {
@@ -258,3 +276,40 @@
 		qt.Check(t, reason, qt.Equals, api.ReasonOverload)
 	}
 }
+
+// Guards against memory without a bound, and against a worker that is never forgotten: an
+// agent that reconnects under another name leaves none of its former names behind.
+func TestRenamedWorkerIsForgotten(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).startConfigured("e1")
+	got, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) []int {
+		for i := range 100 {
+			connect(ls, fmt.Sprint("v", i), 11, "salalah-kiln", []string{"cleft-assessor"}, wire.Load{Slots: 8})
+			ls.agents[11].conn = nil
+		}
+		return []int{len(ls.workers), len(ls.agentByWorker)}
+	})
+	qt.Assert(t, got, qt.DeepEquals, []int{1, 1})
+}
+
+// Guards against jobs that wait in vain, each for 2 s, for a worker whose agent restarts again
+// and again without accepting tasks.
+func TestRestartingAgentIsNotAwaitedForever(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).startConfigured("e1")
+	got, _ := postAndWait(context.Background(), n.Entry, func(ls *loopState) (awaited []bool) {
+		connect(ls, "w1", 11, "salalah-kiln", []string{"cleft-assessor"}, wire.Load{Slots: 8})
+		now := ls.now()
+		for i := range 20 {
+			now = now.Add(4 * time.Second)
+			ls.recordWorker(&agentState{id: uint64(12 + i), worker: "w1", zone: "salalah-kiln", conn: &transport.Conn{}, load: wire.Load{Leaving: true}}, now)
+			awaited = append(awaited, ls.workerReturns("cleft-assessor", now.Add(time.Second)))
+		}
+		return awaited
+	})
+	// The worker is awaited from when it stops accepting tasks, from the next restart, and from
+	// the one a minute after that.
+	want := make([]bool, 20)
+	want[0], want[1], want[16] = true, true, true
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
