intake: Keep a connection whose request has arrived but isn't read yet

At the bound, the connection without a whole request that has been silent for longest is closed for a new one. A busy process reads a request later than the 50 ms for which a connection counts as young; its client then lost the connection although idle ones could have been closed.

Before a connection is closed, the listener now looks whether bytes have arrived that nobody has read. If so, the connection counts as young again, once until it is read. TestArrivedRequestKeepsItsPlace fails without this: the connection with the unread request is closed, the idle one stays.

--- a/intake/choose.go
+++ b/intake/choose.go
@@ -22,6 +22,8 @@
 	// acceptedAt is when the connection was accepted, lastRead when it last sent something,
 	// and beganAt when the first bytes of an unfinished request or message arrived.
 	acceptedAt, lastRead, beganAt time.Duration
+	// renewed says that bytes which have not been read yet have made the connection young.
+	renewed bool
 	// young says that the connection has been silent, or open, for less than minSilence:
 	// what it has sent may not have been read yet.
 	young bool
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -155,7 +155,7 @@
 	g := c.guard
 	now := g.now()
 	c.mu.Lock()
-	c.state.lastRead = now
+	c.state.lastRead, c.state.renewed = now, false
 	if c.state.phase == serving || c.ended {
 		// At most a byte of the next request, read to notice the end of the connection.
 		c.mu.Unlock()
@@ -349,6 +349,18 @@
 	return controlErr == nil && err == nil && unread > 0
 }
 
+// renewForUnread makes a connection young if its peer has sent bytes that have not been read.
+// It does so once until bytes are read, and reports whether it did.
+func (c *Conn) renewForUnread(now time.Duration) bool {
+	if s := c.snapshot(); s.held > 0 || s.renewed || !c.bytesArrived() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.lastRead, c.state.renewed = now, true
+	return true
+}
+
 // unservedState is the state of a connection that may be closed for a new one.
 func (c *Conn) unservedState() (connState, bool) {
 	s := c.snapshot()
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -170,20 +170,32 @@
 func (l *listener) unsettled() bool {
 	l.guard.mu.Lock()
 	defer l.guard.mu.Unlock()
-	young := func(state func(*Conn) (connState, bool), before preferable) bool {
-		i := choose(l.guard.now(), len(l.conns), func(i int) (connState, bool) { return state(l.conns[i]) }, before)
-		if i < 0 {
-			return false
-		}
-		s, _ := state(l.conns[i])
-		return s.young
-	}
 	if l.greetingsFull() {
 		if _, young := l.greetingToClose(l.guard.now()); young {
 			return true
 		}
 	}
-	return len(l.conns) >= l.bound && young((*Conn).unservedState, silentLonger)
+	if len(l.conns) < l.bound {
+		return false
+	}
+	_, young := l.unservedToClose(l.guard.now())
+	return young
+}
+
+// unservedToClose returns the index of the connection that is closed at the bound, or -1, and
+// whether it is young. A connection whose request has arrived counts as young again, once,
+// although a busy process has not read it yet. The caller holds guard.mu.
+func (l *listener) unservedToClose(now time.Duration) (index int, young bool) {
+	for rechecks := 0; ; rechecks++ {
+		i := choose(now, len(l.conns), func(i int) (connState, bool) { return l.conns[i].unservedState() }, silentLonger)
+		if i < 0 {
+			return -1, false
+		}
+		s, _ := l.conns[i].unservedState()
+		if s.young || rechecks >= maxRechecks || !l.conns[i].renewForUnread(now) {
+			return i, s.young
+		}
+	}
 }
 
 // greetingToClose returns the index of the connection that is closed when too many wait for
@@ -238,9 +250,11 @@
 		}
 	}
 	if len(l.conns) >= l.bound {
-		if !l.evict(now, (*Conn).unservedState, silentLonger) {
+		i, _ := l.unservedToClose(now)
+		if i < 0 {
 			return nil
 		}
+		l.closeAt(i)
 		closed = append(closed, tooManyConnections)
 	}
 	c.index = len(l.conns)
@@ -250,17 +264,6 @@
 	return c
 }
 
-// evict closes the connection that comes first and reports whether there was one. The
-// caller holds guard.mu.
-func (l *listener) evict(now time.Duration, state func(*Conn) (connState, bool), before preferable) bool {
-	i := choose(now, len(l.conns), func(i int) (connState, bool) { return state(l.conns[i]) }, before)
-	if i < 0 {
-		return false
-	}
-	l.closeAt(i)
-	return true
-}
-
 // closeAt closes the connection with an index. The caller holds guard.mu.
 func (l *listener) closeAt(i int) {
 	c := l.conns[i]
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -442,6 +442,53 @@
 	s.Assert(time.Since(began) < time.Second, qt.IsTrue)
 }
 
+// Load pattern: a busy process reads requests later than minSilence after they have arrived.
+// Guards against a connection that is closed for a new one although its request has arrived,
+// while another one is idle.
+func TestArrivedRequestKeepsItsPlace(t *testing.T) {
+	l := defaults
+	l.Callers = 2
+	g := NewGuard(Options{Limits: l})
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	listener := g.ListenForCallers(raw)
+	defer func() { _ = listener.Close() }()
+	connect := func(sent string) *Conn {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = client.Close() })
+		send(client, sent)
+		conn, err := listener.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		return conn.(*Conn)
+	}
+	open := func(c *Conn) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return c.index >= 0
+	}
+	age := func(c *Conn) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.state.lastRead -= time.Hour
+	}
+	unread, idleConn := connect("GET / HTTP/1.1\r\n\r\n"), connect("")
+	for end := time.Now().Add(10 * time.Second); !unread.bytesArrived() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	idleConn.enter(idle, false, true)
+	age(unread)
+	age(idleConn)
+	silent := connect("")
+	qt.Assert(t, []bool{open(unread), open(idleConn)}, qt.DeepEquals, []bool{true, false})
+	// It keeps its place once, not for as long as nobody reads the bytes.
+	age(unread)
+	age(unread)
+	age(silent)
+	connect("")
+	qt.Assert(t, []bool{open(unread), open(silent)}, qt.DeepEquals, []bool{false, true})
+}
+
 // states counts the connections by phase.
 func (s *server) states() map[phase]int {
 	s.guard.mu.Lock()
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -78,6 +78,9 @@
 	// new one. In a burst of connections the requests of the first ones have not been read
 	// when the last ones are accepted.
 	minSilence = 50 * time.Millisecond
+	// maxRechecks bounds the connections that are looked at for unread bytes before one is
+	// closed: each look is a system call and another pass over the connections.
+	maxRechecks = 64
 	// minGreetingAge takes the place of minSilence for a connection whose first message
 	// hasn't begun to arrive: it is a few round trips. With minSilence, 1,280 connections per
 	// second without a message would fill the backlog of the listener and keep entries out.
