dispatch: Leave the work of refused jobs out of that ahead

refuseHopeless summed the work of whole classes before it looked at their jobs. The work of jobs that it refused in the same pass still counted as ahead of all jobs of later classes. When 400 short urgent jobs reached an entry that had just started, a long job was refused along with them as unable to end in time, although after these refusals it was the next to be served.

The classes are now gone through in the order in which they are served, and only jobs that stay add to the work ahead.

TestWorkOfHopelessJobsIsNotAhead failed before: the long job was refused.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -84,12 +84,6 @@
 	return now-s.opts.StartedAt >= warmUpPeriod && s.freeShare(service) < s.opts.Policy.ScarceFreeShare && !s.hasReserve(now, service)
 }
 
-// serviceClass is a class of the jobs of a service.
-type serviceClass struct {
-	service string
-	class   jobClass
-}
-
 // refuseHopeless refuses the jobs of which nothing can have run and that can't end before
 // their cutoff at the present rate. The work that is served before must take until the
 // cutoff even at Policy.RateMargin times that rate: the run time of the job itself is left
@@ -99,38 +93,31 @@
 	if len(rates) == 0 {
 		return
 	}
-	classes := make([]jobClass, len(s.waiting))
-	work := map[serviceClass]float64{}
-	for i, j := range s.waiting {
-		classes[i] = s.classify(now, j)
-		work[serviceClass{j.Service, classes[i]}] += j.unboundWork()
-	}
-	// Classes that are served first add to the work ahead of the others.
-	ahead := map[serviceClass]float64{}
-	for service := range rates {
-		sum := 0.0
-		for class := urgent; class <= late; class++ {
-			ahead[serviceClass{service, class}] = sum
-			sum += work[serviceClass{service, class}]
-		}
+	var groups [late + 1][]*job
+	for _, j := range s.waiting {
+		class := s.classify(now, j)
+		groups[class] = append(groups[class], j)
 	}
 	type refusal struct {
 		j    *job
 		wait time.Duration
 	}
 	var refusals []refusal
-	for i, j := range s.waiting {
-		r, known := rates[j.Service]
-		if !known || r <= 0 {
-			continue
-		}
-		key := serviceClass{j.Service, classes[i]}
-		wait := time.Duration(ahead[key] / r)
-		if float64(j.cutoff-now)*s.opts.Policy.RateMargin < float64(wait) && j.ranStatus() == api.RanNo {
-			refusals = append(refusals, refusal{j, wait})
-			continue
+	// ahead is the work by service that is served before a job. That of refused jobs isn't.
+	ahead := map[string]float64{}
+	for _, group := range groups {
+		for _, j := range group {
+			r, known := rates[j.Service]
+			if !known || r <= 0 {
+				continue
+			}
+			wait := time.Duration(ahead[j.Service] / r)
+			if float64(j.cutoff-now)*s.opts.Policy.RateMargin < float64(wait) && j.ranStatus() == api.RanNo {
+				refusals = append(refusals, refusal{j, wait})
+				continue
+			}
+			ahead[j.Service] += j.unboundWork()
 		}
-		ahead[key] += j.unboundWork()
 	}
 	for _, r := range refusals {
 		s.hopelessRefusals++
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -162,3 +162,30 @@
 		s.TakeActions(now)
 	}
 }
+
+// Load: an entry that has just started gets 400 short urgent jobs at once, of which its worker
+// can serve few. A long job, which is served once they have been refused, must not be refused
+// because of their work.
+func TestWorkOfHopelessJobsIsNotAhead(t *testing.T) {
+	h := newHarness(t)
+	h.s.opts.StartedAt, h.s.opts.MaxWaitingJobs = h.now, 1000
+	h.addWorker("w1", 1, 1)
+	h.mustAccept(h.newJob("running", 1, 400*ms))
+	newLong := func(id string) Job {
+		j := h.newJob(id, 1, 2*time.Second)
+		j.Queue, j.Priority, j.Deadline = "long jobs", highestPriority+1, h.now+12*time.Second
+		return j
+	}
+	h.mustAccept(newLong("long"))
+	h.takeActions()
+	h.advance(960 * ms)
+	for i := range 400 {
+		j := h.newJob(fmt.Sprintf("short%03d", i), 1, 100*ms)
+		j.Priority = highestPriority
+		h.mustAccept(j)
+	}
+	h.advance(100 * ms)
+	h.takeActions()
+	h.Assert(h.s.hopelessRefusals > 300, qt.IsTrue, qt.Commentf("%d", h.s.hopelessRefusals))
+	h.Assert(h.answers["long"] == nil, qt.IsTrue)
+}
