dispatch: Take a rate as unknown after it was zero

The rate of a service counts once jobs have waited for 1 s, and is the highest of the last one to two seconds. After an interruption of all connections of over 2 s, that was the rate of the first agent that was back, and it counted at once: the jobs that had waited were refused before the other agents reported.

The time from which the rate counts begins anew after a period of zero rate.

TestRateIsUnknownAfterAnInterruption failed before: 21 of 30 jobs were refused within 0.2 s of the return of the first of 11 agents.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -18,7 +18,8 @@
 
 // rate is the rate at which the workers of a service can work for this entry.
 type rate struct {
-	// since is when the first job began to wait, without a pause until now.
+	// since is when the first job began to wait, without a pause until now. It begins anew
+	// after a period in which the rate was 0.
 	since time.Duration
 	// peak is the highest rate since peakSince, previous that of the period before, in
 	// millicores of a worker of speed 1.
@@ -33,6 +34,10 @@
 	if now-r.peakSince >= ratePeriod {
 		r.previous, r.peak, r.peakSince = r.peak, 0, now
 	}
+	if r.peak == 0 && r.previous == 0 {
+		// After an interruption of all connections, the first agent that is back says little.
+		r.since = now
+	}
 	r.peak, r.seenAt = max(r.peak, value), now
 	return now-r.since >= ratePeriod
 }
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -189,3 +189,29 @@
 	h.Assert(h.s.hopelessRefusals > 300, qt.IsTrue, qt.Commentf("%d", h.s.hopelessRefusals))
 	h.Assert(h.answers["long"] == nil, qt.IsTrue)
 }
+
+// Load: an entry loses its connections to all agents for some seconds, and they come back one
+// after the other. Jobs must not be refused at the rate of the first agent that is back.
+func TestRateIsUnknownAfterAnInterruption(t *testing.T) {
+	h := newHarness(t)
+	h.s.opts.StartedAt = h.now
+	h.addWorker("w1", 1, 1)
+	h.now += 3 * time.Second
+	h.s.AgentDisconnected(h.now, "w1", "silent")
+	for i := range 30 {
+		j := h.newJob(fmt.Sprintf("j%02d", i), 1, 2*time.Second)
+		j.Deadline = h.now + 12*time.Second
+		h.mustAccept(j)
+	}
+	h.advance(2500 * ms)
+	h.addWorker("w1", 1, 1)
+	h.takeActions()
+	h.advance(200 * ms)
+	h.takeActions()
+	h.Assert(h.s.hopelessRefusals, qt.Equals, int64(0))
+	for i := range 10 {
+		h.addWorker(fmt.Sprint("back", i), 5, 1)
+	}
+	h.takeActions()
+	h.Assert(h.s.Stats().WaitingJobs, qt.Equals, 0)
+}
