dispatch: Count misses on spare workers by service and label

A sparePlan gives up after 8 jobs in a row that find no room on spare workers. The count was shared by all services and labels. With more late jobs of one service than its slow workers have room for, or late jobs that need a label, Tick refused the late jobs of other services, or without a label, beside idle slow workers on which they would have ended in time.

The misses are counted by service and required label of the first step.

TestLateJobsWithoutRoomRefuseNoOthers failed before in both cases: the late job was refused and the slow worker got no start.

--- a/dispatch/spare.go
+++ b/dispatch/spare.go
@@ -142,16 +142,20 @@
 }
 
 // sparePlan assigns tasks of late jobs to spare capacity. It keeps track of what it has
-// assigned, and gives up after some jobs in a row that find none.
+// assigned, and gives up on a kind of job after some in a row that find none.
 type sparePlan struct {
 	s        *Scheduler
 	taken    map[*worker]link.Resources
 	takenCPU map[string]int64
-	misses   int
+	misses   map[missKey]int
 }
 
+// missKey names jobs that compete for the same workers: one that finds no room says nothing
+// about those of another service, or with another label.
+type missKey struct{ service, label string }
+
 func (s *Scheduler) newSparePlan() *sparePlan {
-	return &sparePlan{s: s, taken: map[*worker]link.Resources{}, takenCPU: map[string]int64{}}
+	return &sparePlan{s: s, taken: map[*worker]link.Resources{}, takenCPU: map[string]int64{}, misses: map[missKey]int{}}
 }
 
 // assign returns the workers for all tasks of a job, or nil if they don't all end there
@@ -159,7 +163,8 @@
 // of the job may have started: what has is served before all others, on any worker.
 func (p *sparePlan) assign(now time.Duration, j *job) []*worker {
 	s := p.s
-	if p.misses >= maxPlacementMisses || j.started || now < j.notBefore || len(s.spareOf(now, j.Service)) == 0 {
+	key := missKey{j.Service, j.Steps[0].RequiredLabel}
+	if p.misses[key] >= maxPlacementMisses || j.started || now < j.notBefore || len(s.spareOf(now, j.Service)) == 0 {
 		return nil
 	}
 	chosen := make([]*worker, 0, len(j.tasks))
@@ -167,12 +172,12 @@
 	taken := map[*worker]link.Resources{}
 	for _, t := range j.tasks {
 		if t.phase != ready {
-			p.misses++
+			p.misses[key]++
 			return nil
 		}
 		w := p.pick(now, t, taken, chosen, nil)
 		if w == nil {
-			p.misses++
+			p.misses[key]++
 			return nil
 		}
 		chosen = append(chosen, w)
@@ -181,10 +186,10 @@
 	}
 	total, free := s.capacity(j.Service)
 	if float64(free-p.takenCPU[j.Service]-cpu) < s.urgentReserve(now, j.Service)*float64(total) {
-		p.misses++
+		p.misses[key]++
 		return nil
 	}
-	p.misses = 0
+	p.misses[key] = 0
 	p.takenCPU[j.Service] += cpu
 	for w, need := range taken {
 		p.taken[w] = p.taken[w].Add(need)
--- a/dispatch/spare_test.go
+++ b/dispatch/spare_test.go
@@ -204,3 +204,40 @@
 		})
 	}
 }
+
+// Load: more late jobs of one service wait than its slow workers have room for, or late jobs
+// wait for a label that none of them has. Late jobs of another service, or without a label,
+// must not be refused for this while their slow worker is idle.
+func TestLateJobsWithoutRoomRefuseNoOthers(t *testing.T) {
+	for name, prepare := range map[string]func(j *Job){
+		"other service": func(j *Job) { j.Service = "other service" },
+		"label":         func(j *Job) { j.Steps[0].RequiredLabel = "gpu" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSpareHarness(t, 0.3)
+			// Without a rate, no queue counts as too long.
+			h.s.Cancel(h.now, "running", "the caller has gone")
+			h.addWorkerOfOtherService("other fast", 60, 0, 1)
+			h.addWorkerOfOtherService("other slow", 4, 1, 0.3)
+			// One that can be on time has late ones of its service refused.
+			j := h.newLessUrgentJob("on time", 1, 2*time.Second)
+			j.Service, j.Queue = "other service", "long jobs"
+			h.mustAccept(j)
+			for i := range 2 * maxPlacementMisses {
+				j := h.newLessUrgentJob(fmt.Sprintf("A%02d", i), 2, 200*ms)
+				j.ReceivedAt -= ms
+				prepare(&j)
+				h.mustAccept(j)
+			}
+			h.Assert(h.waitUntilLate("a", 2)["slow"], qt.HasLen, 2)
+		})
+	}
+}
+
+// addWorkerOfOtherService adds a worker with the given numbers of slots and free ones.
+func (h *harness) addWorkerOfOtherService(name string, capacity, free int, speed float64) {
+	h.s.AgentConnected(h.now, name, 1)
+	h.report(name, free, speed, &link.Report{Worker: &link.WorkerState{
+		ID: "life-" + name, Service: "other service", Capacity: link.Resources{MilliCPU: int64(capacity) * 4000, MemoryMB: 1 << 20},
+	}})
+}
