directory: Take a truncated history as an answer

While an earlier call for changes hangs, the hedge waits for it if a later one returns an error. ErrHistoryTruncated counted as one: after an outage in which the store lost its history, the table was read again only once the hanging call had timed out, up to 4 s later than the attempt interval allows, and until then the process asked for the lost changes again and again.

The call now returns it as a result, and the table is read at once.

TestHangingCallDelaysNoReadOfTheTable failed before: no further read of the table within the attempt interval plus 100 ms.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -189,6 +189,8 @@
 type reading struct {
 	rows    []Row
 	version uint64
+	// truncated says that the store no longer keeps the changes.
+	truncated bool
 }
 
 // poll reads the table if version is 0, and its changes otherwise.
@@ -211,9 +213,13 @@
 	}
 	r, err := run(ctx, w.changesHedge, func(ctx context.Context) (r reading, err error) {
 		r.rows, r.version, err = w.store.Changes(ctx, w.table, after, w.changesWait)
+		if errors.Is(err, ErrHistoryTruncated) {
+			// An answer, for which no other call is waited for.
+			return reading{truncated: true}, nil
+		}
 		return r, err
 	}, unanswered)
-	if errors.Is(err, ErrHistoryTruncated) {
+	if r.truncated {
 		w.log.Add(decisions.Info("store no longer keeps the changes, reading the whole table", "table", w.table, "version", w.version))
 		w.version = 0
 		return nil, false, nil
--- a/directory/outage_test.go
+++ b/directory/outage_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +121,38 @@
 		qt.Check(t, s.puts, qt.Not(qt.HasLen), 0)
 	})
 }
+
+// truncatedStore never answers the first call for changes, and no longer keeps the changes
+// that the second one asks for.
+type truncatedStore struct {
+	outageStore
+	asked atomic.Int32
+	read  atomic.Int32
+}
+
+func (s *truncatedStore) Rows(context.Context, string) ([]Row, uint64, error) {
+	return []Row{{Key: "a", Value: []byte(strconv.Itoa(int(s.read.Add(1))))}}, 1, nil
+}
+
+func (s *truncatedStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]Row, uint64, error) {
+	if s.asked.Add(1) == 2 {
+		return nil, 0, ErrHistoryTruncated
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Load pattern: a call hangs, and the store then answers that it no longer keeps the changes.
+// Guards against a table that is read again only after the hanging call has timed out.
+func TestHangingCallDelaysNoReadOfTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); synctest.Wait() }()
+		s := &truncatedStore{}
+		attemptInterval := interval(t, 3*time.Second)
+		go Watch(ctx, s, "t", attemptInterval, testLog(), func([]Row, bool, uint64) {}, func(bool) {})
+		time.Sleep(attemptInterval + 100*time.Millisecond)
+		synctest.Wait()
+		qt.Check(t, s.read.Load() > 1, qt.IsTrue)
+	})
+}
