dispatchd: Forget a cancellation when the job is submitted again

An entry remembers a cancelled job for 10 s, so that a repeated request is answered with 200. A job that was submitted again in this time, and had ended, was still reported as cancelled.

A job that is accepted is removed from the remembered ones.

TestJobSubmittedAgainIsNotCancelledBefore failed before: the job was reported as cancelled.

--- a/cancellation/cancellation_test.go
+++ b/cancellation/cancellation_test.go
@@ -183,4 +183,7 @@
 	}
 	qt.Check(t, r.Contains(time.Second, "a"), qt.IsFalse)
 	qt.Check(t, len(r.at) == maxRecent && len(r.order) == maxRecent, qt.IsTrue)
+	r.Remove("0")
+	qt.Check(t, r.Contains(time.Second, "0"), qt.IsFalse)
+	qt.Check(t, len(r.at) == maxRecent-1 && len(r.order) == maxRecent-1, qt.IsTrue)
 }
--- a/cancellation/recent.go
+++ b/cancellation/recent.go
@@ -1,6 +1,9 @@
 package cancellation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// recentRetention is how long a cancelled job is remembered: callers repeat a request
@@ -37,3 +40,13 @@
 	at, ok := r.at[job]
 	return ok && now-at < recentRetention
 }
+
+// Remove forgets a job that has been submitted again: that it was cancelled says nothing
+// about how it ends now.
+func (r *Recent) Remove(job string) {
+	if _, ok := r.at[job]; !ok {
+		return
+	}
+	delete(r.at, job)
+	r.order = slices.DeleteFunc(r.order, func(o string) bool { return o == job })
+}
--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -129,3 +129,21 @@
 		e.Check(w.Code, qt.Equals, status, qt.Commentf("%.40s", body))
 	}
 }
+
+// Guards against "cancelled" for a job that was submitted again after it was cancelled, and
+// has ended since.
+func TestJobSubmittedAgainIsNotCancelledBefore(t *testing.T) {
+	e := startEntry(t)
+	ctx, gone := context.WithCancel(context.Background())
+	defer gone()
+	e.submit(ctx, "j1")
+	known, err := e.cancel("j1")
+	e.Assert(err, qt.IsNil)
+	e.Assert(known, qt.IsTrue)
+	e.Assert((<-e.received).Stops, qt.HasLen, 1)
+	e.submit(ctx, "j1")
+	e.Assert(e.call(ctx, func(now time.Duration) { e.scheduler.Cancel(now, "j1", "ends in another way") }), qt.IsNil)
+	known, err = e.cancel("j1")
+	e.Assert(err, qt.IsNil)
+	e.Assert(known, qt.IsFalse)
+}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -470,6 +470,7 @@
 			answer <- v
 			return
 		}
+		d.cancelledJobs.Remove(job.ID)
 		d.waiters[job.ID] = append(d.waiters[job.ID], answer)
 	})
 	d.countQueued(job.ID, 1)
