dispatch: Let jobs without a worker delay none of other services

placeWaiting looked at no more jobs of a class after 8 in a row for which no worker was found, whatever their service or label. With 8 jobs of a full service, or that need a label which no worker has, jobs of another service or without a label waited while their workers were idle, and were refused in the end.

The misses are counted by service and label. Decisions about jobs of one service that need no labels are unchanged.

TestJobsWithoutRoomDelayNoOthers failed before in both cases.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -16,9 +16,9 @@
 
 const (
 	// maxPlacementMisses limits the search within a jobClass: after this many
-	// consecutive jobs for which no worker is found, the rest of the class waits
-	// for the next call of placeWaiting. Jobs differ little in the resources that
-	// their tasks need, so the rest would rarely find one either.
+	// consecutive jobs of a missKey for which no worker is found, the rest of them
+	// waits for the next call of placeWaiting. Jobs differ little in the resources
+	// that their tasks need, so the rest would rarely find one either.
 	maxPlacementMisses = 8
 	// minRetryAfter and maxRetryAfter limit the retry hint of a refusal.
 	minRetryAfter = 200 * time.Millisecond
@@ -202,8 +202,12 @@
 	freeShares := map[string]float64{}
 	plan := s.newSparePlan()
 	for class, group := range groups {
-		misses := 0
+		misses := map[missKey]int{}
 		for _, j := range group {
+			key := j.missKey()
+			if misses[key] >= maxPlacementMisses {
+				continue
+			}
 			share, known := freeShares[j.Service]
 			if !known {
 				share = s.freeShare(j.Service)
@@ -216,10 +220,10 @@
 				continue
 			}
 			if s.placeReady(now, j) {
-				misses = 0
+				misses[key] = 0
 				delete(freeShares, j.Service)
-			} else if misses++; misses >= maxPlacementMisses {
-				break
+			} else {
+				misses[key]++
 			}
 		}
 	}
--- a/dispatch/spare.go
+++ b/dispatch/spare.go
@@ -154,6 +154,16 @@
 // about those of another service, or with another label.
 type missKey struct{ service, label string }
 
+// missKey returns that of the job's first ready task.
+func (j *job) missKey() missKey {
+	for _, t := range j.tasks {
+		if t.phase == ready {
+			return missKey{j.Service, t.step().RequiredLabel}
+		}
+	}
+	return missKey{service: j.Service}
+}
+
 func (s *Scheduler) newSparePlan() *sparePlan {
 	return &sparePlan{s: s, taken: map[*worker]link.Resources{}, takenCPU: map[string]int64{}, misses: map[missKey]int{}}
 }
@@ -163,7 +173,7 @@
 // of the job may have started: what has is served before all others, on any worker.
 func (p *sparePlan) assign(now time.Duration, j *job) []*worker {
 	s := p.s
-	key := missKey{j.Service, j.Steps[0].RequiredLabel}
+	key := j.missKey()
 	if p.misses[key] >= maxPlacementMisses || j.started || now < j.notBefore || len(s.spareOf(now, j.Service)) == 0 {
 		return nil
 	}
--- a/dispatch/spare_test.go
+++ b/dispatch/spare_test.go
@@ -241,3 +241,27 @@
 		ID: "life-" + name, Service: "other service", Capacity: link.Resources{MilliCPU: int64(capacity) * 4000, MemoryMB: 1 << 20},
 	}})
 }
+
+// Load: more jobs of one service wait than placeWaiting looks at in a row, or jobs wait for a
+// label that no worker has. A job of another service, or without a label, must not wait for
+// them while its worker is idle.
+func TestJobsWithoutRoomDelayNoOthers(t *testing.T) {
+	for name, prepare := range map[string]func(j *Job){
+		"other service": func(j *Job) { j.Service = "other service" },
+		"label":         func(j *Job) { j.Steps[0].RequiredLabel = "gpu" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("idle", 1, 1)
+			h.addWorkerOfOtherService("other full", 4, 0, 1)
+			for i := range 2 * maxPlacementMisses {
+				j := h.newLessUrgentJob(fmt.Sprintf("A%02d", i), 1, 200*ms)
+				j.ReceivedAt -= ms
+				prepare(&j)
+				h.mustAccept(j)
+			}
+			h.mustAccept(h.newLessUrgentJob("a", 1, 200*ms))
+			h.Assert(h.takeStarts()["idle"], qt.HasLen, 1)
+		})
+	}
+}
