--- a/entry/submit.go
+++ b/entry/submit.go
@@ -151,8 +151,8 @@
 }
 
 // disconnectedSlots counts the slots of agents whose connection is lost but which may
-// reconnect, and which the configuration permits to serve the service. When all connections are replaced at once, jobs wait for the
-// agents and are not refused for lack of workers.
+// reconnect, and which the configuration permits to serve the service. When all connections
+// are replaced at once, jobs wait for the agents and are not refused for lack of workers.
 func (ls *loopState) disconnectedSlots(service string) int {
 	n := 0
 	for _, ag := range ls.agents {
--- a/link/spec.go
+++ b/link/spec.go
@@ -15,7 +15,8 @@
 	// maxSpecBytes bounds a decompressed spec.
 	maxSpecBytes = 64 << 10
 	// maxSpecsBytes bounds the specs of a message after decompression, in bytes.
-	// maxFrameBytes does not: 64 KiB of zeros are compressed to 100 bytes. An entry sends at most 1,000 starts with specs of 4 KB.
+	// maxFrameBytes does not: 64 KiB of zeros are compressed to 100 bytes. An entry sends at
+	// most 1,000 starts with specs of 4 KB.
 	maxSpecsBytes = 16 << 20
 	// specWindowBytes is the window of the compression, which bounds its memory.
 	specWindowBytes = 8 << 10
