--- a/review/scenes-2/cancel.go
+++ b/review/scenes-2/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 		return couldNot, err.Error()
 	}
 	var jobs []cancelled
+	var others sync.WaitGroup
+	defer others.Wait()
 	for i, again := range [][]*process{{d.entries[1], d.entries[0]}, {d.entries[0]}, {d.entries[1]}} {
 		id := fmt.Sprintf("%016x", 0xc0ffee00+i)
 		// A task of the first job takes longer than its caller waits.
@@ -51,6 +54,7 @@
 		if i > 0 {
 			work, pause = "900", lateBy
 		}
+		others.Go(func() { d.otherJobs(i) })
 		status, acked, err := d.cancelJob(id, work)
 		if err != nil {
 			return couldNot, err.Error()
@@ -83,6 +87,14 @@
 	return held, "no task was started later than cancel_ms after the cancelling of its job was acknowledged"
 }
 
+// otherJobs submits the jobs of the same seconds that nobody cancels: four for each cancelled
+// one, so that a fifth of the jobs are cancelled.
+func (d *deployment) otherJobs(round int) {
+	for n := range 4 {
+		d.post(d.entries[n%2], fmt.Sprintf("%016x", 0x0dd0000+16*round+n), "100", 2, 100, 1500)
+	}
+}
+
 // cancelJob submits a job and cancels it at the same entry while its tasks run. It returns the
 // answer to the submission, and when the cancelling was acknowledged.
 func (d *deployment) cancelJob(id, work string) (status int, acked time.Duration, err error) {
--- a/review/scenes-2/deployment.go
+++ b/review/scenes-2/deployment.go
@@ -210,7 +210,7 @@
 		return err
 	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := startOnOneCore(p.cmd); err != nil {
+	if err := p.cmd.Start(); err != nil {
 		return err
 	}
 	_ = log.Close()
