--- a/runner/types.go
+++ b/runner/types.go
@@ -144,7 +144,8 @@
 	StartLeaseExpired
 	// StartUnanswered means that the outcome is unknown.
 	StartUnanswered
-	// StartNotSent means that the worker can't have got the call: nothing listens.
+	// StartNotSent means that the worker can't have got the call: nothing listens, or the
+	// instance that the call is for doesn't answer on a new connection.
 	StartNotSent
 	// StartNotCalled means that the call was not made. It tells nothing of the worker.
 	StartNotCalled
@@ -159,7 +160,8 @@
 	LeaseUntil int64
 	// WorkerID and WorkerBorn identify the worker instance that the call is for. The
 	// worker compares only the ID, which a restarted worker may share with the instance
-	// before it.
+	// before it, so that the call must not be made over a connection that another instance
+	// may read.
 	WorkerID   string
 	WorkerBorn int64
 	Need       link.Resources
@@ -191,6 +193,9 @@
 	// LeaseUntil is on the worker's clock, in milliseconds; 0 requests the lists
 	// without renewing the lease.
 	LeaseUntil int64
+	// WorkerBorn identifies the worker instance on whose clock LeaseUntil is. A call that
+	// renews the lease must not reach another one.
+	WorkerBorn int64
 	// LastEndNumber is the highest ListedEnd.Number that was processed.
 	LastEndNumber uint64
 	// MaxWait is how long the worker may hold the request until a run ends.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -86,7 +86,7 @@
 		c.MaxWait = 0
 	case end > now && len(s.runs) > 0:
 		// Without runs, the lease could only be that of a run which the agent doesn't know.
-		c.LeaseUntil = s.workerTime(end)
+		c.LeaseUntil, c.WorkerBorn = s.workerTime(end), s.workerBorn
 		s.extendLease(now, end)
 	}
 	s.renewalsInFlight++
