--- a/runner/doubt_test.go
+++ b/runner/doubt_test.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// Guards against a worker that gets no starts although it only leaves some calls unanswered: a
+// start without a connection is refused, but causes no doubt.
+func TestStartWithoutAConnectionCausesNoDoubt(t *testing.T) {
+	f := newReadyFixture(t)
+	f.sendCommands(1, &link.Commands{Starts: []link.Start{start("j", 0)}})
+	f.s.StartDone(f.now, f.starts[0], StartNoConnection, 0)
+	f.takeActions()
+	answers := f.reports[1].Answers
+	f.Assert(answers[len(answers)-1].Result, qt.Equals, link.Refused)
+	f.Assert(f.s.Runs(), qt.Equals, 0)
+	f.Assert(f.s.StartableBorn(), qt.Equals, int64(7))
+}
+
 // Guards against a worker that gets no starts for longer than needed: a start that was not called
 // because the worker was in doubt must not renew the doubt.
 func TestStartThatWasNotCalledCausesNoDoubt(t *testing.T) {
--- a/runner/types.go
+++ b/runner/types.go
@@ -144,11 +144,14 @@
 	StartLeaseExpired
 	// StartUnanswered means that the outcome is unknown.
 	StartUnanswered
-	// StartNotSent means that the worker can't have got the call: nothing listens, or the
-	// instance that the call is for doesn't answer on a new connection.
+	// StartNotSent means that the worker can't have got the call: nothing listens, or another
+	// instance answers.
 	StartNotSent
 	// StartNotCalled means that the call was not made. It tells nothing of the worker.
 	StartNotCalled
+	// StartNoConnection means that the call was not sent, because the worker has answered on
+	// no connection in time.
+	StartNoConnection
 )
 
 // StartCall starts a run on the worker.
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -148,7 +148,7 @@
 	switch result {
 	case StartOutdated:
 		answer = link.Outdated
-	case StartRefused, StartNotSent, StartNotCalled:
+	case StartRefused, StartNotSent, StartNotCalled, StartNoConnection:
 		answer = link.Refused
 	}
 	if conn := s.conns[r.conn]; conn != nil {
--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -353,12 +353,12 @@
 	}
 }
 
-// startWithRetries repeats a start call that has no answer, as long as the worker is known to
-// be the instance that the call is for, and the lease in the call has not expired. After a
-// pause of runner.MaxEventGap, also before the first call, the worker may have restarted
-// unnoticed. The rejection of a repeated call counts as no answer, since it doesn't tell the
-// outcome of the first one: its run may have ended already, or may still start. unanswered
-// reports whether an attempt had no answer.
+// startWithRetries repeats a start call that has no answer, or for which there is no
+// connection, as long as the worker is known to be the instance that the call is for, and the
+// lease in the call has not expired. After a pause of runner.MaxEventGap, also before the first
+// call, the worker may have restarted unnoticed. The rejection of a repeated call counts as no
+// answer, since it doesn't tell the outcome of the first one: its run may have ended already, or
+// may still start. unanswered reports whether an attempt had no answer.
 func (a *Agent) startWithRetries(ctx context.Context, c runner.StartCall) (result runner.StartResult, workerClock int64, unanswered bool) {
 	result = runner.StartNotCalled
 	if clock.SinceBoot()-c.CreatedAt >= runner.MaxEventGap {
@@ -372,7 +372,10 @@
 			return answer, clockOfAnswer, unanswered
 		case answer == runner.StartUnanswered:
 			result, unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotCalled:
+		case unanswered:
+		case answer == runner.StartNoConnection:
+			result = answer
+		default:
 			return answer, clockOfAnswer, false
 		}
 		waitForRetry(calledAt)
--- a/runnerd/agent_test.go
+++ b/runnerd/agent_test.go
@@ -55,6 +55,10 @@
 		{repeated(runner.StartUnanswered, maxCallAttempts), runner.StartUnanswered, 0},
 		{scriptedWorker{runner.StartNotSent, runner.StartOK}, runner.StartNotSent, 1},
 		{append(scriptedWorker{runner.StartUnanswered}, repeated(runner.StartNotSent, maxCallAttempts-1)...), runner.StartUnanswered, 0},
+		{scriptedWorker{runner.StartNoConnection, runner.StartOK, runner.StartOK}, runner.StartOK, 1},
+		{scriptedWorker{runner.StartNoConnection, runner.StartNoCapacity, runner.StartOK}, runner.StartNoCapacity, 1},
+		{repeated(runner.StartNoConnection, maxCallAttempts), runner.StartNoConnection, 0},
+		{append(scriptedWorker{runner.StartUnanswered}, repeated(runner.StartNoConnection, maxCallAttempts-1)...), runner.StartUnanswered, 0},
 	} {
 		worker := append(scriptedWorker{}, tc.answers...)
 		a := &Agent{opts: Options{Worker: &worker}}
