--- a/bench/interleaving/agent_test.go
+++ b/bench/interleaving/agent_test.go
@@ -109,15 +109,17 @@
 	calledAt := a.now
 	var answer runner.StartResult
 	var clock int64
-	a.call(c.Timeout, func(k *worker, reply func(), _ func()) {
+	a.call(c.WorkerBorn, c.Timeout, func(k *worker, reply func(), _ func()) {
 		answer, clock = k.startRun(c)
 		reply()
 	}, func(o outcome) {
 		switch o {
-		case refused:
+		case refused, otherInstance:
 			answer, clock = runner.StartNotSent, 0
 		case unanswered, closed:
 			answer, clock = runner.StartUnanswered, 0
+		case noConnection:
+			answer, clock = runner.StartNoConnection, 0
 		}
 		switch {
 		case answer == runner.StartOK:
@@ -125,7 +127,10 @@
 			return
 		case answer == runner.StartUnanswered:
 			result, c.Unanswered = runner.StartUnanswered, true
-		case result == runner.StartNotCalled:
+		case c.Unanswered:
+		case answer == runner.StartNoConnection:
+			result = answer
+		default:
 			finish(answer, clock)
 			return
 		}
@@ -142,7 +147,7 @@
 func (a *agent) stopWithRetries(c runner.StopCall, n int) {
 	calledAt := a.now
 	ok := false
-	a.call(c.Timeout, func(k *worker, reply func(), _ func()) {
+	a.call(c.WorkerBorn, c.Timeout, func(k *worker, reply func(), _ func()) {
 		ok = k.stopRun(c)
 		reply()
 	}, func(o outcome) {
@@ -159,7 +164,7 @@
 func (a *agent) renew(c runner.RenewCall) {
 	sentAt := a.now
 	var got *runner.RenewReply
-	a.call(c.MaxWait+renewTimeoutMargin, func(k *worker, reply func(), broken func()) {
+	a.call(c.WorkerBorn, c.MaxWait+renewTimeoutMargin, func(k *worker, reply func(), broken func()) {
 		k.renew(c, &hold{lastSeen: c.LastEndNumber, reply: func(r *runner.RenewReply) { got = r; reply() }, closed: broken})
 	}, func(o outcome) {
 		reply := got
@@ -185,11 +190,17 @@
 	unanswered
 	refused
 	closed
+	noConnection
+	otherInstance
 )
 
+// anyInstance is the born of a call that any worker instance may get.
+const anyInstance = 0
+
 // call makes one call to the worker. exec carries it out there; it may do so without an
-// answer, or late. done gets the outcome once.
-func (a *agent) call(timeout time.Duration, exec func(k *worker, reply, broken func()), done func(o outcome)) {
+// answer, or late. done gets the outcome once. Unless born is anyInstance, the call goes over
+// a connection on which that instance has answered.
+func (a *agent) call(born int64, timeout time.Duration, exec func(k *worker, reply, broken func()), done func(o outcome)) {
 	finished, epoch := false, a.epoch
 	deliver := func(o outcome) {
 		if a.epoch != epoch {
@@ -203,15 +214,32 @@
 			}
 		})
 	}
-	a.after(timeout, func() { deliver(unanswered) })
 	k := a.worker
+	sentTo := k.life
+	connected := born == anyInstance || k.alive && k.born == born
+	if waits := !connected && !k.alive && a.w.heldListeners; waits {
+		// The question for the instance waits in the backlog, and nothing is sent after it.
+		a.after(timeout, func() { deliver(noConnection) })
+		return
+	}
+	a.after(timeout, func() { deliver(unanswered) })
 	a.after(a.between(100*time.Microsecond, 500*time.Microsecond), func() {
-		if !k.alive {
+		none := func() {}
+		switch {
+		case connected && born != anyInstance && (!k.alive || k.life != sentTo):
+			deliver(closed)
+			return
+		case connected && !k.alive && a.w.heldListeners:
+			k.backlog = append(k.backlog, func() { exec(k, func() { deliver(answered) }, none) })
+			return
+		case !k.alive:
 			deliver(refused)
 			return
+		case !connected:
+			deliver(otherInstance)
+			return
 		}
 		life := k.life
-		none := func() {}
 		if !a.chance(k.lossy) {
 			exec(k, func() {
 				d := a.between(100*time.Microsecond, time.Millisecond)
@@ -261,7 +289,7 @@
 func (a *agent) identify(an runner.Announcement, began time.Duration) {
 	calledAt := a.now
 	isInstance, born := false, int64(0)
-	a.call(identifyCall, func(k *worker, reply, _ func()) {
+	a.call(anyInstance, identifyCall, func(k *worker, reply, _ func()) {
 		isInstance, born = k.id == an.ID, k.born
 		reply()
 	}, func(o outcome) {
--- a/bench/interleaving/faults_test.go
+++ b/bench/interleaving/faults_test.go
@@ -32,12 +32,16 @@
 	faultKinds
 )
 
-// evacuateZone is drawn apart, so that a seed keeps the kinds that it had before.
-const evacuateZone = faultKinds
+// These are drawn apart, so that a seed keeps the kinds that it had before.
+const (
+	evacuateZone = faultKinds + iota
+	holdListener
+)
 
 var kindNames = []string{
 	"cut-pair", "cut-host", "silent-conns", "reset-conns", "delays", "kill-entry", "kill-agent", "freeze-entry", "freeze-agent", "slow-entry", "slow-agent",
 	"caller-reset", "lossy-worker", "slow-answers", "restart-worker", "born-back", "calls-cross-lives", "change-worker", "leave-worker", "evacuate-zone",
+	"hold-listener",
 }
 
 func (k faultKind) String() string { return kindNames[k] }
@@ -217,6 +221,16 @@
 			}
 		}
 	}
+	if k == holdListener {
+		down := r.between(700*ms, 1500*ms)
+		return fmt.Sprintf("the worker of %s restarts under its id with its listener open, down %v", a.name, down), func() {
+			w.heldListeners = true
+			if k := a.worker; k.alive {
+				k.crash()
+				w.after(down, func() { k.start(false) })
+			}
+		}
+	}
 	if k == evacuateZone {
 		if r.IntN(2) == 0 {
 			length += evacuationBound
--- a/bench/interleaving/interleaving_test.go
+++ b/bench/interleaving/interleaving_test.go
@@ -117,7 +117,8 @@
 }
 
 // Guards against the return of faults that let a task run twice or without its label, or a
-// worker be filled beyond its capacity. Each seed fails without the rule that it names.
+// worker be filled beyond its capacity. Each seed failed without the rule that it names when it
+// was added; a later rule may prevent the same violation.
 func TestSeedsOfPastFaults(t *testing.T) {
 	for _, tc := range []struct {
 		rule         string
@@ -139,6 +140,11 @@
 		{"no start is made until a worker that may have restarted unnoticed has answered", 203, true, []faultKind{changeWorker, freezeAgent}},
 		{"no start is made until a worker that may have restarted unnoticed has answered", 71404, true, []faultKind{changeWorker, freezeAgent}},
 		{"no start is made until a worker that may have restarted unnoticed has answered", 70193, true, []faultKind{changeWorker, freezeAgent, lossyWorker}},
+		{"a call reaches only the worker instance that it is for", 300004, true, []faultKind{holdListener}},
+		{"a call reaches only the worker instance that it is for", 300007, true, []faultKind{holdListener}},
+		{"a call reaches only the worker instance that it is for", 300022, true, []faultKind{holdListener, changeWorker}},
+		{"a call reaches only the worker instance that it is for", 70378, true, []faultKind{changeWorker, slowAgent, lossyWorker, slowAnswers}},
+		{"a call reaches only the worker instance that it is for", 70636, true, []faultKind{changeWorker, lossyWorker, freezeAgent}},
 	} {
 		t.Run(fmt.Sprintf("%s, seed %d", tc.rule, tc.seed), func(t *testing.T) {
 			s := newScenario(tc.seed)
--- a/bench/interleaving/worker_test.go
+++ b/bench/interleaving/worker_test.go
@@ -77,6 +77,8 @@
 	lease    int64
 	holds    []*hold
 	sequence uint64
+	// backlog holds the calls on connections that the next instance accepts.
+	backlog []func()
 	// lossy is the share of calls that are disturbed while the fault is in effect.
 	lossy float64
 	// bornShift is the step of the clock that gives born.
@@ -99,7 +101,17 @@
 	k.rate, k.offset = 0.98+0.02*k.w.random.Float64(), k.w.random.Int64N(5000)
 	k.runs, k.highest = map[runKey]*workerRun{}, map[link.TaskID]uint32{}
 	k.ended, k.ends, k.lease, k.holds, k.sequence, k.leavesAt = nil, 0, 0, nil, 0, 0
-	life := k.life
+	life, waiting := k.life, k.backlog
+	k.backlog = nil
+	k.w.after(0, func() {
+		for _, exec := range waiting {
+			if k.alive && k.life == life {
+				k.execLate, k.execFormer = true, true
+				exec()
+				k.execLate, k.execFormer = false, false
+			}
+		}
+	})
 	var beat func()
 	beat = func() {
 		if !k.alive || k.life != life {
--- a/bench/interleaving/world_test.go
+++ b/bench/interleaving/world_test.go
@@ -47,6 +47,9 @@
 	if rand.New(rand.NewPCG(seed, 3)).IntN(4) == 0 {
 		s.kinds = append(s.kinds, evacuateZone)
 	}
+	if rand.New(rand.NewPCG(seed, 4)).IntN(4) == 0 {
+		s.kinds = append(s.kinds, holdListener)
+	}
 	slices.Sort(s.kinds)
 	return s
 }
@@ -103,6 +106,9 @@
 	callersHeld     []func()
 	slowAnswers     bool
 	callsCrossLives bool
+	// heldListeners says that the sockets of workers stay open while their process is down:
+	// new connections wait for the next process.
+	heldListeners   bool
 	jobs            map[string]*job
 	executing       map[link.TaskID][]execution
 	callerResets    float64
