--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -170,3 +170,19 @@
 	// A worker that gives no start time is known by its ID alone.
 	f.Assert(f.s.WorkerIdentified(f.now, foreign, true, 0), qt.IsTrue)
 }
+
+// Guards against a run that starts again although it is done: a renewal acknowledges the ends of
+// the former instance, reaches the worker's next one, and that forgets ends of its own.
+func TestEndsAreAcknowledgedToTheirInstance(t *testing.T) {
+	f := newReadyFixture(t)
+	f.startRun(1, start("j", 0))
+	f.answerRenewalWithEnds([]ListedEnd{{Number: 1, Task: task("j", 0), Attempt: 1, Outcome: link.Done}})
+	f.takeActions()
+	f.Assert(*f.renew, qt.Equals, RenewCall{LastEndNumber: 1, WorkerBorn: 7, MaxWait: f.renew.MaxWait})
+	// The worker may have restarted.
+	f.s.RenewFailed(f.now, f.now, "connection reset", RenewConnClosed)
+	f.takeActions()
+	f.Assert(*f.renew, qt.Equals, RenewCall{})
+	f.restartWorker()
+	f.Assert(*f.renew, qt.Equals, RenewCall{WorkerBorn: 9, MaxWait: f.renew.MaxWait})
+}
--- a/runner/types.go
+++ b/runner/types.go
@@ -196,11 +196,13 @@
 	// LeaseUntil is on the worker's clock, in milliseconds; 0 requests the lists
 	// without renewing the lease.
 	LeaseUntil int64
-	// WorkerBorn identifies the worker instance on whose clock LeaseUntil is. A call that
-	// renews the lease must not reach another one.
-	WorkerBorn int64
-	// LastEndNumber is the highest ListedEnd.Number that was processed.
+	// LastEndNumber is the highest ListedEnd.Number that was processed. The worker forgets
+	// the ends up to it.
 	LastEndNumber uint64
+	// WorkerBorn identifies the worker instance that the call is for; 0 for any instance. No
+	// other one must get it: LeaseUntil and LastEndNumber would be of another clock and of
+	// other runs there.
+	WorkerBorn int64
 	// MaxWait is how long the worker may hold the request until a run ends.
 	MaxWait time.Duration
 }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -67,7 +67,7 @@
 }
 
 func (s *State) renew(now time.Duration) {
-	c := &RenewCall{LastEndNumber: s.lastEndNumber, MaxWait: idleRenewWait}
+	c := &RenewCall{LastEndNumber: s.lastEndNumber, WorkerBorn: s.workerBorn, MaxWait: idleRenewWait}
 	switch {
 	case s.instanceInDoubt, len(s.runs) > 0 && s.lossy(now):
 		c.MaxWait = 0
@@ -82,11 +82,12 @@
 	case !s.clockKnown || s.lastRenewFailed:
 		// Only the lists are requested while the worker's clock is unknown or if the
 		// last renewal failed: if unanswered calls extended the lease, it would never
-		// expire for a worker that is gone.
-		c.MaxWait = 0
+		// expire for a worker that is gone. Any instance may answer, so no ends are
+		// acknowledged: another instance numbers its own.
+		c.LastEndNumber, c.WorkerBorn, c.MaxWait = 0, 0, 0
 	case end > now && len(s.runs) > 0:
 		// Without runs, the lease could only be that of a run which the agent doesn't know.
-		c.LeaseUntil, c.WorkerBorn = s.workerTime(end), s.workerBorn
+		c.LeaseUntil = s.workerTime(end)
 		s.extendLease(now, end)
 	}
 	s.renewalsInFlight++
