--- a/runnerd/agent.go
+++ b/runnerd/agent.go
@@ -133,6 +133,9 @@
 
 type metrics struct {
 	starts, rejected, endReports, renewFailures tally.Counter
+	// notSent counts the starts for which there was no connection to the worker instance that
+	// they were for.
+	notSent tally.Counter
 	// commandAge is the time from link.Commands.AsOfMS until the message is handled.
 	commandAge tally.Histogram
 	// evacuated is 1 while the worker's zone is evacuated, evacuationRefusals counts the
@@ -159,6 +162,7 @@
 		conns: map[runner.ConnID]*link.Conn{},
 		metrics: metrics{
 			starts: o.Metrics.Counter("run_starts_total"), rejected: o.Metrics.Counter("run_starts_rejected_total"),
+			notSent:    o.Metrics.Counter("run_starts_not_sent_total"),
 			endReports: o.Metrics.Counter("run_reports_total"), renewFailures: o.Metrics.Counter("lease_renewals_failed_total"),
 			evacuated: o.Metrics.Gauge("zone_evacuated"), evacuationRefusals: o.Metrics.Counter("run_starts_refused_evacuated_total"),
 			commandAge: o.Metrics.Histogram("command_age_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 10)),
@@ -348,6 +352,9 @@
 			if result != runner.StartOK {
 				a.metrics.rejected.Inc(1)
 			}
+			if result == runner.StartNotSent || result == runner.StartNoConnection {
+				a.metrics.notSent.Inc(1)
+			}
 			a.enqueue(func(now time.Duration) { a.state.StartDone(now, c, result, workerClock) })
 		}
 	}
