--- a/cancellation/cancellation.go
+++ b/cancellation/cancellation.go
@@ -1,9 +1,11 @@
 // Package cancellation decides which entries are asked, and when, about jobs that a caller
-// cancels at an entry which doesn't know them, and what the caller is answered.
+// cancels at an entry which doesn't know them, and what the caller is answered. It also decides
+// when the others are told of a job that has been cancelled, since its request may arrive
+// there, again or late.
 //
 // Input: cancelled jobs, answers and failures of entries, the time. Output: the jobs to ask
-// an entry about next, the outcome for each caller. State: open inquiries, and for each
-// entry the jobs to ask it about and since when it hasn't answered. Pure.
+// an entry about or to tell it of next, the outcome for each caller. State: open inquiries, and
+// for each entry the jobs to ask it about and since when it hasn't answered. Pure.
 package cancellation
 
 import (
@@ -58,9 +60,12 @@
 	Unsupported
 )
 
-// Inquiry is a job that entries are asked about.
+// Inquiry is a job that entries are asked about or told of.
 type Inquiry struct {
 	job string
+	// retention is how long the entries shall remember that the job is cancelled, if they are
+	// told of it; 0 if they are asked.
+	retention time.Duration
 	// waiting holds the entries without an answer, and whether each was asked.
 	waiting map[string]bool
 	// repeated says that an entry has cancelled the job before. Another one may run it since.
@@ -128,9 +133,27 @@
 	}
 }
 
-// Next returns the jobs to ask an entry about now. If there are none yet, it returns after
-// which time to call it again; 0 means that there is nothing to ask.
-func (q *Inquiries) Next(now time.Duration, name string) (jobs []string, wait time.Duration) {
+// Tell begins to tell the named entries that a job has been cancelled, and that requests of it
+// may arrive during the given time. It returns false if there are too many open inquiries.
+func (q *Inquiries) Tell(now time.Duration, job string, retention time.Duration, peers []string) bool {
+	i := q.Begin(now, job, peers, func() {})
+	if i != nil {
+		i.retention = retention
+	}
+	return i != nil
+}
+
+// Request is a job in a request to an entry.
+type Request struct {
+	Job string
+	// Retention is how long the entry shall remember that the job is cancelled; 0 if it is
+	// only asked whether it runs the job.
+	Retention time.Duration
+}
+
+// Next returns the jobs to ask an entry about or to tell it of now. If there are none yet, it
+// returns after which time to call it again; 0 means that there is nothing to ask.
+func (q *Inquiries) Next(now time.Duration, name string) (jobs []Request, wait time.Duration) {
 	p := q.peers[name]
 	if p == nil || len(p.batch) > 0 {
 		return nil, 0
@@ -147,7 +170,7 @@
 	p.sentAt, p.nextAt = now, now+requestInterval
 	for _, i := range p.batch {
 		i.waiting[name] = true
-		jobs = append(jobs, i.job)
+		jobs = append(jobs, Request{i.job, i.retention})
 	}
 	return jobs, 0
 }
@@ -170,7 +193,7 @@
 	for _, i := range q.takeBatch(p) {
 		delete(i.waiting, name)
 		i.repeated = i.repeated || slices.Contains(repeated, i.job)
-		if slices.Contains(cancelled, i.job) {
+		if i.retention == 0 && slices.Contains(cancelled, i.job) {
 			q.finish(i, Cancelled)
 		}
 		q.settle(i)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -337,6 +337,16 @@
 	return ok, ok && j.started
 }
 
+// Deadline returns until when the caller of a job in progress waits; ok is false if the job
+// isn't in progress.
+func (s *Scheduler) Deadline(id string) (deadline time.Duration, ok bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return 0, false
+	}
+	return j.Deadline, true
+}
+
 // Knows reports whether a task of a job may have started here: the job is in progress, or
 // it has ended and its answer or its attempts are still kept.
 func (s *Scheduler) Knows(now time.Duration, id string) bool {
--- a/dispatchd/cancel.go
+++ b/dispatchd/cancel.go
@@ -34,15 +34,29 @@
 	// request and its answer.
 	maxCancelJobBytes = 64
 	maxCancelBytes    = 64 << 10
+	// maxCancelledMS limits cancelledJob.ForMS, in milliseconds: a bit more than the longest
+	// time that a caller may wait, a day.
+	maxCancelledMS = 2 * 24 * 60 * 60 * 1000
 )
 
 // ErrCancelUnresolved is returned by Cancel if it isn't known whether another entry runs the
 // job.
 var ErrCancelUnresolved = errors.New("other entries could not be asked whether they run the job")
 
-// cancelRequest asks an entry to cancel those of the jobs that it runs.
+// cancelledMessage is the message of the answer to a request of a job that is cancelled.
+const cancelledMessage = "the job was cancelled by its caller"
+
+// cancelRequest asks an entry to cancel those of Jobs that it runs, and tells it that the
+// Cancelled ones have been cancelled, which it isn't to start any more either.
 type cancelRequest struct {
-	Jobs []string `json:"jobs"`
+	Jobs      []string       `json:"jobs,omitempty"`
+	Cancelled []cancelledJob `json:"cancelled,omitempty"`
+}
+
+// cancelledJob is a job of which requests may arrive for ForMS milliseconds.
+type cancelledJob struct {
+	Job   string `json:"job"`
+	ForMS int64  `json:"for_ms"`
 }
 
 type cancelReply struct {
@@ -74,10 +88,15 @@
 // was cancelled before. arrived is when the request arrived. The error is ErrStopped,
 // ErrCancelUnresolved or that of ctx.
 func (d *Dispatcher) Cancel(ctx context.Context, id string, arrived time.Duration) (known bool, err error) {
+	var retention time.Duration
 	var repeated bool
-	err = d.call(ctx, func(now time.Duration) { known, repeated = d.cancelHere(now, id, "cancelled by its caller") })
-	if known || err != nil {
-		return known, err
+	err = d.call(ctx, func(now time.Duration) { retention, repeated = d.cancelHere(now, id, cancelledMessage) })
+	switch {
+	case err != nil:
+		return false, err
+	case retention > 0:
+		d.tellOthers(id, retention)
+		return true, nil
 	}
 	switch d.askOthers(ctx, id, arrived) {
 	case cancellation.Cancelled:
@@ -88,14 +107,41 @@
 	return false, cmp.Or(ctx.Err(), ErrCancelUnresolved)
 }
 
-// cancelHere cancels a job in progress at this entry. repeated says that it was cancelled
+// cancelHere cancels a job in progress at this entry. retention is for how long requests of
+// the job may still arrive; 0 if it isn't in progress. repeated says that it was cancelled
 // before.
-func (d *Dispatcher) cancelHere(now time.Duration, id, message string) (known, repeated bool) {
-	if d.scheduler.Cancel(now, id, message) {
-		d.cancelledJobs.Add(now, id)
-		return true, false
+func (d *Dispatcher) cancelHere(now time.Duration, id, message string) (retention time.Duration, repeated bool) {
+	deadline, ok := d.scheduler.Deadline(id)
+	if !ok || !d.scheduler.Cancel(now, id, message) {
+		return 0, d.cancelledJobs.Contains(now, id)
+	}
+	retention = max(deadline-now, 0) + d.opts.Timings.LateArrival
+	d.cancelledJobs.Add(now, id, retention)
+	return retention, false
+}
+
+// tellOthers lets the other entries know that a job has been cancelled. A caller may have
+// submitted it there as well, and its request may arrive there yet.
+func (d *Dispatcher) tellOthers(id string, retention time.Duration) {
+	q := &d.inquirer
+	peers := d.otherEntries()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.inquiries.Tell(clock.SinceBoot(), id, retention, peers) {
+		d.askEach(peers)
+	} else {
+		d.metrics.cancelsUnresolved.Inc(1)
+	}
+}
+
+// askEach starts the requests to other entries. The caller holds inquirer.mu.
+func (d *Dispatcher) askEach(peers []string) {
+	for _, address := range peers {
+		if !d.inquirer.asking[address] {
+			d.inquirer.asking[address] = true
+			go d.ask(address)
+		}
 	}
-	return false, d.cancelledJobs.Contains(now, id)
 }
 
 // askOthers asks the other entries to cancel a job.
@@ -106,12 +152,7 @@
 	q.mu.Lock()
 	inquiry := q.inquiries.Begin(clock.SinceBoot(), id, peers, func() { close(done) })
 	if inquiry != nil {
-		for _, address := range peers {
-			if !q.asking[address] {
-				q.asking[address] = true
-				go d.ask(address)
-			}
-		}
+		d.askEach(peers)
 	}
 	q.mu.Unlock()
 	if inquiry == nil {
@@ -194,10 +235,18 @@
 }
 
 // requestCancel asks an entry to cancel jobs.
-func requestCancel(client *http.Client, address string, jobs []string) (reply cancelReply, failure cancellation.Failure, err error) {
+func requestCancel(client *http.Client, address string, jobs []cancellation.Request) (reply cancelReply, failure cancellation.Failure, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelRequestTimeout)
 	defer cancel()
-	body, err := json.Marshal(cancelRequest{Jobs: jobs})
+	var request cancelRequest
+	for _, j := range jobs {
+		if j.Retention > 0 {
+			request.Cancelled = append(request.Cancelled, cancelledJob{j.Job, j.Retention.Milliseconds()})
+		} else {
+			request.Jobs = append(request.Jobs, j.Job)
+		}
+	}
+	body, err := json.Marshal(request)
 	if err != nil {
 		return reply, cancellation.Unsupported, errors.Wrap(err, "encode request")
 	}
@@ -233,8 +282,10 @@
 			return errors.Wrap(err, "decode request")
 		}
 		tooLong := func(job string) bool { return len(job) > maxCancelJobBytes }
-		if len(request.Jobs) > cancellation.MaxJobs || slices.ContainsFunc(request.Jobs, tooLong) {
-			return errors.Errorf("more than %d jobs, or one with more than %d bytes", cancellation.MaxJobs, maxCancelJobBytes)
+		odd := func(j cancelledJob) bool { return tooLong(j.Job) || j.ForMS <= 0 || j.ForMS > maxCancelledMS }
+		if len(request.Jobs)+len(request.Cancelled) > cancellation.MaxJobs || slices.ContainsFunc(request.Jobs, tooLong) ||
+			slices.ContainsFunc(request.Cancelled, odd) {
+			return errors.Errorf("more than %d jobs, one with more than %d bytes, or one without a time of up to %d ms", cancellation.MaxJobs, maxCancelJobBytes, maxCancelledMS)
 		}
 		return nil
 	})
@@ -245,18 +296,26 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	var reply cancelReply
+	var retentions []time.Duration
 	err = d.call(c.Request().Context(), func(now time.Duration) {
 		for _, id := range request.Jobs {
-			known, repeated := d.cancelHere(now, id, "cancelled by its caller at another entry")
-			if known {
-				reply.Cancelled = append(reply.Cancelled, id)
+			retention, repeated := d.cancelHere(now, id, "cancelled by its caller at another entry")
+			if retention > 0 {
+				reply.Cancelled, retentions = append(reply.Cancelled, id), append(retentions, retention)
 			} else if repeated {
 				reply.Repeated = append(reply.Repeated, id)
 			}
 		}
+		for _, j := range request.Cancelled {
+			d.scheduler.Cancel(now, j.Job, "cancelled by its caller at another entry")
+			d.cancelledJobs.Add(now, j.Job, time.Duration(j.ForMS)*time.Millisecond)
+		}
 	})
 	if err != nil {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
+	for i, id := range reply.Cancelled {
+		d.tellOthers(id, retentions[i])
+	}
 	return c.JSON(http.StatusOK, reply)
 }
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -156,7 +156,7 @@
 	agents    map[string]*agent
 	// waiters holds, by job, the channels on which calls of Submit wait.
 	waiters map[string][]chan *api.Verdict
-	// cancelledJobs are the jobs that callers have cancelled lately.
+	// cancelledJobs are the jobs that callers have cancelled lately. They aren't started again.
 	cancelledJobs *cancellation.Recent
 	// lastWake is when the event loop last ran. The process last stood still from
 	// stoodStillFrom until stoodStillUntil.
@@ -466,11 +466,16 @@
 			answer <- d.refuse(job, api.ReasonCancelled, "the caller has gone before the job was accepted")
 			return
 		}
+		if d.cancelledJobs.Contains(now, job.ID) {
+			// The request has arrived again, or late.
+			d.opts.Log.Add(decisions.Info("job refused", "job", job.ID, "queue", job.Queue, "reason", cancelledMessage))
+			answer <- api.Fail(api.RanMaybe, api.ReasonCancelled, cancelledMessage)
+			return
+		}
 		if v := d.scheduler.Submit(now, job); v != nil {
 			answer <- v
 			return
 		}
-		d.cancelledJobs.Remove(job.ID)
 		d.waiters[job.ID] = append(d.waiters[job.ID], answer)
 	})
 	d.countQueued(job.ID, 1)
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -57,8 +57,14 @@
 	// entries about it. With bounds of some seconds, agents have stopped the runs of an entry
 	// that hasn't answered by then, unless only its connection to this one is lost.
 	CancelTimeout time.Duration
+	// LateArrival is how long after the deadline of a job a request of it may arrive again.
+	LateArrival time.Duration
 }
 
+// maxCopyDelay is how late a copy of a request may be, beyond the time after which callers
+// submit their jobs again. The platform speaks of seconds.
+const maxCopyDelay = 10 * time.Second
+
 // DefaultContact is the value of Bounds.Contact where the settings name none.
 const DefaultContact = 3 * time.Second
 
@@ -119,6 +125,7 @@
 	t.RestartDelay = max(time.Duration(float64(t.Lease)*(1+clockDrift)), t.SilenceTimeout) + b.MaxStopTime + 2*maxSchedulingDelay
 	// A quarter is left for the answer to the caller, on a host with a tenth of a core.
 	t.CancelTimeout = cmp.Or(b.Cancel, DefaultCancel) * 3 / 4
+	t.LateArrival = b.ResendAfter + maxCopyDelay
 	contact := cmp.Or(b.Contact, DefaultContact)
 	t.StoreAttemptInterval = max(min(max(contact-contactReserve, contact/2), maxStoreAttemptInterval), minStoreAttemptInterval)
 	t.MaxSuspension = max(t.SilenceTimeout, budget-4*maxSchedulingDelay)
