--- a/dispatchd/cancel.go
+++ b/dispatchd/cancel.go
@@ -162,14 +162,23 @@
 	d.metrics.cancelInquiries.Inc(1)
 	timer := time.NewTimer(d.opts.Timings.CancelTimeout - (clock.SinceBoot() - arrived))
 	defer timer.Stop()
+	ending := false
 	select {
 	case <-done:
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-d.ending:
+		ending = true
 	}
 	q.mu.Lock()
-	q.inquiries.End(inquiry)
 	outcome := inquiry.Outcome()
+	q.inquiries.End(inquiry)
+	if !ending {
+		outcome = inquiry.Outcome()
+	} else if outcome == cancellation.Open {
+		// The others haven't had their time to answer.
+		outcome = cancellation.Unresolved
+	}
 	q.mu.Unlock()
 	switch outcome {
 	case cancellation.Cancelled:
--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -186,3 +186,45 @@
 		e.Check(w.Code, qt.Equals, status, qt.Commentf("%.40s", body))
 	}
 }
+
+// Guards against a request to cancel a job that is cut off because its entry ends, and against
+// "no such job" although the other entries haven't had their time to answer.
+func TestDrainWaitsForRequestsToCancel(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"the other entry answers": 200 * ms, "the other entry hangs": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t)
+			stopped := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				select {
+				case <-time.After(delay):
+				case <-stopped:
+				}
+				_, _ = w.Write([]byte("{}"))
+			}))
+			defer server.Close()
+			defer close(stopped)
+			e.addPeer("other", server.Listener.Addr().String())
+			e.opts.GracePeriod, e.opts.CloseConnections = 2*time.Second, func() {}
+			drained := make(chan struct{})
+			began := time.Now()
+			go func() { e.drain(); close(drained) }()
+			time.Sleep(e.opts.GracePeriod/2 - 50*ms)
+			end := e.BeginRequest()
+			known, err := e.cancel("j1")
+			e.Assert(known, qt.IsFalse)
+			if delay < time.Second {
+				e.Assert(err, qt.IsNil)
+			} else {
+				e.Assert(err, qt.Equals, ErrCancelUnresolved)
+			}
+			select {
+			case <-drained:
+				t.Fatal("the drain has ended before the answer")
+			default:
+			}
+			end()
+			<-drained
+			e.Assert(time.Since(began) < e.opts.GracePeriod, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+		})
+	}
+}
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -66,6 +66,9 @@
 	// which new jobs are refused.
 	drainMargin       = 400 * time.Millisecond
 	finalRefusePeriod = 1500 * time.Millisecond
+	// finalAnswerPeriod is the part of the drain, at its end, in which requests that wait for
+	// other entries are answered without them.
+	finalAnswerPeriod = 200 * time.Millisecond
 )
 
 // ErrStopped is returned after the event loop has ended.
@@ -135,8 +138,10 @@
 	// connections are closed after their answer. Both are derived from lag.
 	overloaded atomic.Bool
 	closeConns atomic.Bool
-	// submissions counts the calls of Submit in progress.
-	submissions atomic.Int64
+	// submissions counts the calls of Submit in progress, otherRequests the other requests of
+	// callers. ending is closed when the drain is nearly over.
+	submissions, otherRequests atomic.Int64
+	ending                     chan struct{}
 
 	cache directoryCache
 	// evacuationsMu is held while evacuated zones are put in effect, until the event loop has
@@ -181,7 +186,7 @@
 	startedAt := clock.SinceBoot()
 	return &Dispatcher{
 		opts: o, startedAt: startedAt, events: make(chan event, eventQueueSize), queuedSubmissions: map[string]int{},
-		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}),
+		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}), ending: make(chan struct{}),
 		scheduler: dispatch.New(dispatch.Options{
 			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, KeepApart: o.KeepApart, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
@@ -245,7 +250,7 @@
 	end := start + d.opts.GracePeriod - drainMargin
 	closeAt := start + min(drainAcceptPeriod, d.opts.GracePeriod/2)
 	d.opts.Log.Add(decisions.Info("draining", "jobs", d.submissions.Load()))
-	closed := false
+	closed, ending := false, false
 	for now := start; now < end; now = clock.SinceBoot() {
 		if now >= closeAt && !closed {
 			closed = true
@@ -253,10 +258,10 @@
 		}
 		// A job may arrive after submissions was read and before further ones are
 		// refused, so submissions is read again.
-		if closed && d.submissions.Load() == 0 {
+		if closed && d.requestsInProgress() == 0 {
 			d.refusing.Store(true)
 			time.Sleep(tickInterval)
-			if d.submissions.Load() == 0 {
+			if d.requestsInProgress() == 0 {
 				break
 			}
 			d.refusing.Store(false)
@@ -264,12 +269,25 @@
 		if now >= end-finalRefusePeriod {
 			d.refusing.Store(true)
 		}
+		if now >= end-finalAnswerPeriod && !ending {
+			ending = true
+			close(d.ending)
+		}
 		time.Sleep(tickInterval)
 	}
 	d.refusing.Store(true)
 	d.opts.Log.Add(decisions.Info("drained", "jobs_left", d.submissions.Load(), "took_ms", (clock.SinceBoot() - start).Milliseconds()))
 }
 
+// BeginRequest counts a request of a caller that isn't a submission, and returns the function
+// that ends it. An entry that drains waits for the answers to such requests.
+func (d *Dispatcher) BeginRequest() (end func()) {
+	d.otherRequests.Add(1)
+	return func() { d.otherRequests.Add(-1) }
+}
+
+func (d *Dispatcher) requestsInProgress() int64 { return d.submissions.Load() + d.otherRequests.Load() }
+
 // eventLoop handles events and ticks. Only its goroutine accesses the scheduler.
 func (d *Dispatcher) eventLoop(ctx context.Context) {
 	defer close(d.stopped)
