--- a/dispatchd/departures_test.go
+++ b/dispatchd/departures_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/link"
 	"github.com/sesamelift/sesamelift/timing"
@@ -47,6 +49,23 @@
 	}
 }
 
+// Guards against a job that runs on while its caller submits it elsewhere: the connection was
+// reset behind a further request, and the server doesn't end the context of the first one.
+func TestJobEndsWithItsCallersConnection(t *testing.T) {
+	e := startEntry(t)
+	var gone atomic.Bool
+	verdict := make(chan *api.Verdict, 1)
+	go func() { verdict <- e.Submit(context.Background(), e.job("a"), gone.Load) }()
+	e.Assert((<-e.received).Starts, qt.HasLen, 1)
+	time.Sleep(2 * callerCheckInterval)
+	e.Assert(e.Knows(context.Background(), "a"), qt.IsTrue)
+	gone.Store(true)
+	began := time.Now()
+	e.Assert((<-e.received).Stops, qt.HasLen, 1)
+	e.Assert(time.Since(began) < resendAfter/2, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+	e.Assert((<-verdict).Reason, qt.Equals, api.ReasonCancelled)
+}
+
 // Guards against a job that is cancelled and starts anew while its runs are being stopped: one
 // of its callers goes while the submission of another waits in the queue.
 func TestJobGoesOnForACallerThatWaitsInTheQueue(t *testing.T) {
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -61,6 +61,9 @@
 	// most half of the grace period: the platform sends them until the entry has
 	// failed two readiness checks, one second apart.
 	drainAcceptPeriod = 2800 * time.Millisecond
+	// callerCheckInterval is the time between two checks whether the caller of a job in
+	// progress has gone. Its runs must have ended when it submits the job again.
+	callerCheckInterval = 200 * time.Millisecond
 	// drainMargin is the part of the grace period that is left after the drain for
 	// the last answers. finalRefusePeriod is the part of the drain, at its end, in
 	// which new jobs are refused.
@@ -459,9 +462,9 @@
 
 // Submit runs a job and returns its verdict. If ctx ends first, the caller has
 // disconnected and the job is cancelled, unless another caller waits for it. callerGone
-// reports whether that has happened although ctx may not have ended yet; the event loop
-// calls it before it accepts the job, because the caller may have sent the job to another
-// entry by then.
+// reports whether that has happened although ctx may not have ended yet; it is called before
+// the job is accepted and while it is in progress, because the caller may have sent the job to
+// another entry by then. It must be safe for concurrent use.
 func (d *Dispatcher) Submit(ctx context.Context, job dispatch.Job, callerGone func() bool) *api.Verdict {
 	// The call is counted before it reads refusing, so that drain either waits
 	// for the job or the job is refused.
@@ -505,12 +508,21 @@
 		d.countQueued(job.ID, -1)
 		return d.refuse(job, api.ReasonOverload, "the entry is overloaded")
 	}
-	select {
-	case v := <-answer:
-		return v
-	case <-d.stopped:
-		return finalAnswer(answer)
-	case <-ctx.Done():
+	check := time.NewTicker(callerCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case v := <-answer:
+			return v
+		case <-d.stopped:
+			return finalAnswer(answer)
+		case <-ctx.Done():
+		case <-check.C:
+			// The server that ends ctx doesn't read on once a further request has arrived.
+			if !callerGone() {
+				continue
+			}
+		}
 		d.postDeparture(func(now time.Duration) { d.removeWaiter(now, job.ID, answer) })
 		return api.Fail(api.RanMaybe, api.ReasonCancelled, "the caller has gone")
 	}
