--- a/api/verdict.go
+++ b/api/verdict.go
@@ -56,6 +56,7 @@
 	ReasonQuota            Reason = "quota"
 	ReasonNoWorker         Reason = "no_worker"
 	ReasonCancelled        Reason = "cancelled"
+	ReasonAlreadyCancelled Reason = "already_cancelled"
 	ReasonDraining         Reason = "draining"
 	ReasonOwnerChange      Reason = "owner_change"
 	ReasonOwnerUnreachable Reason = "owner_unreachable"
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -490,7 +490,7 @@
 		if d.cancelledJobs.Contains(now, job.ID) {
 			// The request has arrived again, or late.
 			d.opts.Log.Add(decisions.Info("job refused", "job", job.ID, "queue", job.Queue, "reason", cancelledMessage))
-			answer <- api.Fail(api.RanMaybe, api.ReasonCancelled, cancelledMessage)
+			answer <- api.Fail(api.RanMaybe, api.ReasonAlreadyCancelled, cancelledMessage)
 			return
 		}
 		if v := d.scheduler.Submit(now, job); v != nil {
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -43,7 +43,7 @@
 // as "other".
 var countedReasons = []api.Reason{
 	api.ReasonOK, api.ReasonTaskFailed, api.ReasonOverload, api.ReasonDeadlineExceeded, api.ReasonDeadlinePast,
-	api.ReasonCancelled, api.ReasonDraining,
+	api.ReasonCancelled, api.ReasonAlreadyCancelled, api.ReasonDraining,
 }
 
 func newMetrics(scope tally.Scope) metrics {
--- a/ingress/codes.go
+++ b/ingress/codes.go
@@ -29,6 +29,7 @@
 	api.ReasonDeadlinePast:     http.StatusGatewayTimeout,
 	api.ReasonDeadlineExceeded: http.StatusGatewayTimeout,
 	api.ReasonCancelled:        http.StatusConflict,
+	api.ReasonAlreadyCancelled: http.StatusConflict,
 	api.ReasonTaskFailed:       http.StatusBadGateway,
 	api.ReasonTaskInDoubt:      http.StatusBadGateway,
 	api.ReasonResultTooLarge:   http.StatusBadGateway,
