--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -62,6 +62,9 @@
 	worker *site.Worker
 	cancel context.CancelFunc
 	server *http.Server
+	// served is closed when the server has ended. listener is nil until the server listens.
+	served   chan struct{}
+	listener atomic.Pointer[site.HeldListener]
 }
 
 // deployment holds the processes, workers and proxies of one run.
@@ -143,7 +146,7 @@
 // startWorkers starts a worker for each agent.
 func (d *deployment) startWorkers() {
 	for i, p := range d.agents {
-		d.startWorker(p, d.newWorkerID(p), []float64{1.2, 0.55, 1, 1.2}[i%4])
+		d.startWorker(p, d.newWorkerID(p), []float64{1.2, 0.55, 1, 1.2}[i%4], nil)
 	}
 }
 
@@ -301,19 +304,24 @@
 	return "z1"
 }
 
-// startWorker starts a worker instance for an agent.
-func (d *deployment) startWorker(p *process, id string, speed float64) {
+// startWorker starts a worker instance for an agent. Its listener is held, or opened if held is
+// nil.
+func (d *deployment) startWorker(p *process, id string, speed float64, held *site.HeldListener) {
 	w := site.NewWorker(site.WorkerOptions{
 		ID: id, Service: "s", Zone: d.zoneOf(p), MilliCPU: workerMilliCPU, Speed: speed, AgentAddress: p.controlAddr, Interval: announceInterval, Audit: d.audit, HideStopping: d.workersStarted.Load()%2 == 0,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	instance := &workerInstance{id: id, speed: speed, worker: w, cancel: cancel, server: &http.Server{Handler: w}}
+	instance := &workerInstance{id: id, speed: speed, worker: w, cancel: cancel, server: &http.Server{Handler: w}, served: make(chan struct{})}
 	go func() {
-		var l net.Listener
+		defer close(instance.served)
 		var err error
 		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-			if l, err = net.Listen("tcp", p.workerProxy.target); err == nil {
-				_ = instance.server.Serve(l)
+			if held == nil || held.Reopen() != nil {
+				held, err = site.Hold(p.workerProxy.target)
+			}
+			if err == nil {
+				instance.listener.Store(held)
+				_ = instance.server.Serve(held)
 				return
 			}
 		}
@@ -335,23 +343,34 @@
 }
 
 // replaceWorker crashes the worker and starts another instance at the same address after
-// downTime. It has a new ID unless keepID is set. While another replacement is under way,
-// nothing happens.
-func (d *deployment) replaceWorker(p *process, keepID bool, speed float64, downTime time.Duration) {
+// downTime. It has a new ID unless keepID is set. If holdListener is set, the listening socket
+// stays open meanwhile. While another replacement is under way, nothing happens.
+func (d *deployment) replaceWorker(p *process, keepID, holdListener bool, speed float64, downTime time.Duration) {
 	if !p.replacing.CompareAndSwap(false, true) {
 		return
 	}
 	defer p.replacing.Store(false)
 	old := p.currentWorker()
 	old.worker.Crash()
-	old.cancel()
-	_ = old.server.Close()
+	listener := old.stop()
+	if listener != nil && !holdListener {
+		_ = listener.Release()
+		listener = nil
+	}
 	time.Sleep(downTime)
 	id := old.id
 	if !keepID {
 		id = d.newWorkerID(p)
 	}
-	d.startWorker(p, id, speed)
+	d.startWorker(p, id, speed, listener)
+}
+
+// stop ends the server of an instance and returns its listener, nil if there is none.
+func (w *workerInstance) stop() *site.HeldListener {
+	w.cancel()
+	_ = w.server.Close()
+	<-w.served
+	return w.listener.Load()
 }
 
 func (d *deployment) newWorkerID(p *process) string {
@@ -374,8 +393,9 @@
 			}
 		}
 		if w := p.currentWorker(); w != nil {
-			w.cancel()
-			_ = w.server.Close()
+			if l := w.stop(); l != nil {
+				_ = l.Release()
+			}
 		}
 	}
 	for _, proxy := range d.storeProxies {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -110,7 +110,7 @@
 	workerFault("worker silent", func(*rand.Rand) site.WorkerFaults { return site.WorkerFaults{Silent: true} }),
 	{"worker crashes", func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
-		d.replaceWorker(p, false, 0.5+r.Float64(), 0)
+		d.replaceWorker(p, false, false, 0.5+r.Float64(), 0)
 		return p.name, noUndo
 	}},
 }
@@ -126,14 +126,28 @@
 	{"worker restarts at once", func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
 		downTime := time.Duration(20+r.IntN(180)) * time.Millisecond
-		d.replaceWorker(p, r.IntN(4) != 0, p.currentWorker().speed, downTime)
+		d.replaceWorker(p, r.IntN(4) != 0, false, p.currentWorker().speed, downTime)
 		return fmt.Sprint(p.name, " after ", downTime), noUndo
 	}},
 	{"worker shuts down", func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
 		w, keepID := p.currentWorker(), r.IntN(2) == 0
 		_ = w.server.Close()
-		return p.name, func() { d.replaceWorker(p, keepID, w.speed, 0) }
+		if l := w.listener.Load(); l != nil {
+			_ = l.Release()
+		}
+		return p.name, func() { d.replaceWorker(p, keepID, false, w.speed, 0) }
+	}},
+	{"worker restarts behind an open listener", func(d *deployment, r *rand.Rand) (string, func()) {
+		p := pick(r, d.agents)
+		// The lease of its runs passes meanwhile, and their tasks start elsewhere.
+		downTime := time.Duration(900+r.IntN(400)) * time.Millisecond
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.replaceWorker(p, true, true, p.currentWorker().speed, downTime)
+		}()
+		return fmt.Sprint(p.name, " after ", downTime), func() { <-done }
 	}},
 	{"late leave", func(d *deployment, r *rand.Rand) (string, func()) {
 		p := pick(r, d.agents)
@@ -261,7 +275,7 @@
 				},
 				func() (string, func()) {
 					w := p.currentWorker()
-					d.replaceWorker(p, true, w.speed, time.Duration(20+r.IntN(180))*time.Millisecond)
+					d.replaceWorker(p, true, false, w.speed, time.Duration(20+r.IntN(180))*time.Millisecond)
 					return "worker restarts", noUndo
 				})
 		}
