--- a/boundconn/boundconn.go
+++ b/boundconn/boundconn.go
@@ -62,6 +62,7 @@
 	defer c.mu.Unlock()
 	if c.transport == nil || c.instance != instance {
 		if c.transport != nil {
+			// It also closes those that become idle later.
 			c.transport.CloseIdleConnections()
 		}
 		c.instance, c.transport = instance, c.newTransport(instance)
@@ -69,10 +70,6 @@
 	return &http.Client{Transport: c.transport}
 }
 
-// idleTimeout bounds how long a connection stays open without a request, so that those of an
-// instance that isn't named any more don't stay open.
-const idleTimeout = 10 * time.Second
-
 func (c *Client) newTransport(instance int64) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -86,7 +83,7 @@
 			}
 			return conn, nil
 		},
-		DisableCompression: true, MaxIdleConnsPerHost: c.opts.MaxConns, MaxConnsPerHost: c.opts.MaxConns, IdleConnTimeout: idleTimeout,
+		DisableCompression: true, MaxIdleConnsPerHost: c.opts.MaxConns, MaxConnsPerHost: c.opts.MaxConns,
 	}
 }
 
