--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -30,10 +30,19 @@
 	return e.Cancel(context.Background(), id, clock.SinceBoot())
 }
 
+// assertCancelled cancels a job and checks that the caller is told so.
+func (e *runningEntry) assertCancelled(id string) {
+	e.Helper()
+	known, err := e.cancel(id)
+	e.Assert(err, qt.IsNil)
+	e.Assert(known, qt.IsTrue)
+}
+
 // connectedEntries returns two entries that know each other, and the number of requests that
 // each has got from the other.
 func connectedEntries(t *testing.T) (entries [2]*runningEntry, requests *[2]atomic.Int32) {
 	requests = &[2]atomic.Int32{}
+	var addresses [2]string
 	for i := range entries {
 		entries[i] = startEntry(t)
 		handler := entries[i].DirectoryHandler()
@@ -42,11 +51,10 @@
 			handler.ServeHTTP(w, r)
 		}))
 		t.Cleanup(server.Close)
-		if i == 1 {
-			entries[0].addPeer("other", server.Listener.Addr().String())
-		} else {
-			defer func() { entries[1].addPeer("owner", server.Listener.Addr().String()) }()
-		}
+		addresses[i] = server.Listener.Addr().String()
+	}
+	for i := range entries {
+		entries[i].addPeer("the other entry", addresses[1-i])
 	}
 	return entries, requests
 }
@@ -59,25 +67,19 @@
 	ctx, gone := context.WithCancel(context.Background())
 	defer gone()
 	owner.submit(ctx, "j1")
-	known, err := other.cancel("j1")
-	owner.Assert(err, qt.IsNil)
-	owner.Assert(known, qt.IsTrue)
+	other.assertCancelled("j1")
 	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
 	owner.Assert(requests[0].Load(), qt.Equals, int32(1))
 	// A job that the entry runs itself costs no request but the notice.
 	owner.submit(ctx, "j3")
-	known, err = owner.cancel("j3")
-	owner.Assert(err, qt.IsNil)
-	owner.Assert(known, qt.IsTrue)
+	owner.assertCancelled("j3")
 	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
 	owner.Assert(requests[0].Load(), qt.Equals, int32(1))
 	owner.Assert(requests[1].Load() <= 2, qt.IsTrue, qt.Commentf("one notice for each job at most"))
-	for _, e := range []*runningEntry{owner, other} {
-		known, err = e.cancel("j1")
-		owner.Assert(err, qt.IsNil)
-		owner.Assert(known, qt.IsTrue, qt.Commentf("repeated"))
-	}
-	known, err = other.cancel("j2")
+	// Repeated.
+	owner.assertCancelled("j1")
+	other.assertCancelled("j1")
+	known, err := other.cancel("j2")
 	owner.Assert(err, qt.IsNil)
 	owner.Assert(known, qt.IsFalse)
 }
@@ -90,9 +92,7 @@
 	ctx, gone := context.WithCancel(context.Background())
 	defer gone()
 	owner.submit(ctx, "j1")
-	known, err := owner.cancel("j1")
-	owner.Assert(err, qt.IsNil)
-	owner.Assert(known, qt.IsTrue)
+	owner.assertCancelled("j1")
 	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
 	for _, e := range entries {
 		// The other entry is told at once.
@@ -107,16 +107,12 @@
 		e.Assert(v.Reason, qt.Equals, api.ReasonAlreadyCancelled)
 		e.Assert(v.Ran, qt.Not(qt.Equals), api.RanNo)
 		e.Assert(e.Knows(ctx, "j1"), qt.Equals, e == owner)
-		known, err = e.cancel("j1")
-		e.Assert(err, qt.IsNil)
-		e.Assert(known, qt.IsTrue)
+		e.assertCancelled("j1")
 	}
 	// A job that was submitted at both entries is cancelled at both.
 	owner.submit(ctx, "j2")
 	other.submit(ctx, "j2")
-	known, err = owner.cancel("j2")
-	owner.Assert(err, qt.IsNil)
-	owner.Assert(known, qt.IsTrue)
+	owner.assertCancelled("j2")
 	for _, e := range entries {
 		owner.Assert((<-e.received).Stops, qt.HasLen, 1)
 	}
