--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -259,8 +259,8 @@
 			closed = true
 			d.opts.CloseConnections()
 		}
-		// A job may arrive after submissions was read and before further ones are
-		// refused, so submissions is read again.
+		// A request may arrive after they were counted and before further jobs are
+		// refused, so they are counted again.
 		if closed && d.requestsInProgress() == 0 {
 			d.refusing.Store(true)
 			time.Sleep(tickInterval)
