--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -95,27 +95,39 @@
 	owner.assertCancelled("j1")
 	owner.Assert((<-owner.received).Stops, qt.HasLen, 1)
 	for _, e := range entries {
-		// The other entry is told at once.
-		told := func() (told bool) {
-			e.Assert(e.call(ctx, func(now time.Duration) { told = e.cancelledJobs.Contains(now, "j1") }), qt.IsNil)
-			return told
-		}
-		for end := time.Now().Add(5 * time.Second); !told() && time.Now().Before(end); {
-			time.Sleep(ms)
-		}
+		e.assertTold("j1")
 		v := e.Submit(ctx, e.job("j1"), func() bool { return false })
 		e.Assert(v.Reason, qt.Equals, api.ReasonAlreadyCancelled)
 		e.Assert(v.Ran, qt.Not(qt.Equals), api.RanNo)
 		e.Assert(e.Knows(ctx, "j1"), qt.Equals, e == owner)
 		e.assertCancelled("j1")
 	}
-	// A job that was submitted at both entries is cancelled at both.
+	// A job that was submitted at both entries is cancelled at both, long before its deadline.
 	owner.submit(ctx, "j2")
 	other.submit(ctx, "j2")
 	owner.assertCancelled("j2")
 	for _, e := range entries {
-		owner.Assert((<-e.received).Stops, qt.HasLen, 1)
+		select {
+		case c := <-e.received:
+			e.Assert(c.Stops, qt.HasLen, 1)
+		case <-time.After(e.opts.Timings.CancelTimeout):
+			t.Fatal("the job runs on at an entry after it was cancelled at the other one")
+		}
+	}
+	// The entry that has asked about a job is told of it by the one that ran it.
+	owner.submit(ctx, "j3")
+	other.assertCancelled("j3")
+	other.assertTold("j3")
+}
+
+// assertTold waits until the entry knows that a job has been cancelled.
+func (e *runningEntry) assertTold(id string) {
+	e.Helper()
+	told := false
+	for end := time.Now().Add(e.opts.Timings.CancelTimeout); !told && time.Now().Before(end); time.Sleep(ms) {
+		e.Assert(e.call(context.Background(), func(now time.Duration) { told = e.cancelledJobs.Contains(now, id) }), qt.IsNil)
 	}
+	e.Assert(told, qt.IsTrue, qt.Commentf("the entry doesn't know that %s was cancelled", id))
 }
 
 // Load pattern: a client cancels jobs at random, while one entry is down and another hangs.
