--- a/review/scene-3/beat.go
+++ b/review/scene-3/beat.go
@@ -17,13 +17,13 @@
 }
 
 // load sends jobs at a steady rate to all entries until ctx ends.
-func (s *scene) load(ctx context.Context, perSecond, tasks, ms int) (served, other *atomic.Int64) {
+func (s *scene) load(ctx context.Context, perSecond, tasks, ms, deadlineMS int) (served, other *atomic.Int64) {
 	served, other = new(atomic.Int64), new(atomic.Int64)
 	go func() {
 		for n := 0; ctx.Err() == nil; n++ {
 			go func() {
 				id := fmt.Sprintf("%016x", 0xbb000000+n)
-				status, text := s.post(ctx, s.entries[n%len(s.entries)].front, id, 1500, wideJob(tasks, ms))
+				status, text := s.post(ctx, s.entries[n%len(s.entries)].front, id, deadlineMS, wideJob(tasks, ms))
 				s.record("caller: POST %s, %d tasks: status %d %s", id, tasks, status, text)
 				if status == http.StatusOK {
 					served.Add(1)
@@ -44,7 +44,7 @@
 	workers := s.startAll(2, 4)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	served, other := s.load(ctx, 7, 8, 300)
+	served, other := s.load(ctx, 7, 8, 300, 1500)
 	time.Sleep(time.Second)
 	s.store.put("op", "evacuate/zone-2", []byte(`{}`))
 	acked := s.now()
--- a/review/scene-3/cancel.go
+++ b/review/scene-3/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"syscall"
 	"time"
@@ -43,6 +44,23 @@
 	return answer{s.now(), status, text}
 }
 
+// chain returns the body of a job of steps that follow each other, each with one task of 0.8 s.
+func chain(steps int) string {
+	works := make([]int, steps)
+	for i := range works {
+		works[i] = 800
+	}
+	return job(works...)
+}
+
+// others submits jobs that nobody cancels.
+func (s *scene) others(n int) {
+	for i := range n {
+		e := s.entries[i%len(s.entries)]
+		s.submit(e, e.front, fmt.Sprintf("%016x", 0xd600+i), longMS, job(800))
+	}
+}
+
 // acknowledged reports whether a DELETE was acknowledged.
 func (a answer) acknowledged() bool { return a.status/100 == 2 || a.status == http.StatusGone }
 
@@ -83,19 +101,20 @@
 	s.startAll(0, 3)
 	s.path = "/long/"
 	owner, other := s.entries[0], s.entries[1]
-	s.submit(owner, owner.front, id, longMS, job(10500, 500))
+	s.others(4)
+	s.submit(owner, owner.front, id, longMS, chain(13))
 	s.waitForStart(id)
 	time.Sleep(300 * time.Millisecond)
 	healed := s.now()
 	if s.trouble {
 		s.cutPeers(owner, true)
-		s.record("%s is cut off from the other entries for 5.5 s", owner.name)
-		time.AfterFunc(5500*time.Millisecond, func() { s.cutPeers(owner, false); s.record("the cut has healed") })
-		healed += 5500 * time.Millisecond
+		s.record("%s is cut off from the other entries for 3 s", owner.name)
+		time.AfterFunc(3*time.Second, func() { s.cutPeers(owner, false); s.record("the cut has healed") })
+		healed += 3 * time.Second
 	}
 	time.Sleep(200 * time.Millisecond)
 	ack := s.cancel(other, id)
-	time.Sleep(14 * time.Second)
+	time.Sleep(10 * time.Second)
 	return s.judge(id, ack, healed+contactMS)
 }
 
@@ -106,7 +125,8 @@
 	s.startAll(3, 3)
 	s.path = "/long/"
 	owner, other := s.entries[0], s.entries[1]
-	body := job(4500, 500)
+	body := chain(9)
+	s.others(4)
 	done := s.submit(owner, owner.front, id, longMS, body)
 	s.waitForStart(id)
 	started := make(chan time.Duration, 1)
@@ -144,10 +164,11 @@
 // caseKill: the entry that has just acknowledged the cancelling of a job is killed.
 func (s *scene) caseKill() bool {
 	const id = "00000000000000d3"
-	s.startAll(3, 3)
+	s.startAll(3, 4)
 	s.path = "/long/"
 	owner, other := s.entries[0], s.entries[1]
-	body := job(3500, 500)
+	body := chain(8)
+	s.others(8)
 	done := s.submit(owner, owner.front, id, longMS, body)
 	s.waitForStart(id)
 	// Other jobs of the same owner, whose callers cancel them shortly before.
@@ -179,7 +200,8 @@
 	s.path = "/long/"
 	owner, other := s.entries[0], s.entries[1]
 	p := newProxy(owner.front)
-	body := job(4000, 500)
+	body := chain(8)
+	s.others(4)
 	done := s.submit(owner, p.address(), id, longMS, body)
 	s.waitForStart(id)
 	time.Sleep(300 * time.Millisecond)
--- a/review/scene-3/leave.go
+++ b/review/scene-3/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 	drainMS = 2 * time.Second
 	// slowStore is the store's txn_ms times the largest factor of platform_slow.
 	slowStore = 4 * 93 * time.Millisecond
+	// endingTime is how long the worker takes to end after its leave message was answered.
+	endingTime = 150 * time.Millisecond
 )
 
 // caseLeave: an agent restarts while the store is slow, so that the announcement that it has
@@ -19,11 +22,17 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	w, agent := workers[0], s.agents[0]
-	s.load(ctx, 12, 8, 200)
+	s.path = "/long/"
+	s.load(ctx, 12, 8, 200, longMS)
 	if s.trouble {
 		s.restartWhileStoreIsSlow(agent, w)
 	}
 	time.Sleep(contactMS + time.Second)
+	// A job that is still at work when the worker leaves.
+	for i := range 4 {
+		s.submit(s.entries[0], s.entries[0].front, fmt.Sprintf("%016x", 0xd5+i), longMS, wideJob(3, 9000))
+	}
+	time.Sleep(300 * time.Millisecond)
 	w.mu.Lock()
 	w.state = "draining"
 	w.mu.Unlock()
@@ -34,7 +43,7 @@
 	s.record("%s is draining, acknowledged", w.id)
 	time.Sleep(drainMS + 500*time.Millisecond)
 	s.record("%s leaves: %v", w.id, w.tell(ctx, "leave", map[string]any{}))
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(endingTime)
 	w.crash()
 	s.record("%s has ended", w.id)
 	held := true
--- a/review/scene-3/main.go
+++ b/review/scene-3/main.go
@@ -22,7 +22,7 @@
 	}
 	s := newScene(os.Args[2], os.Getenv("TROUBLE") != "0")
 	cases := map[string]func() bool{
-		"crash": s.caseCrash, "cut": s.caseCut, "beat": s.caseBeat, "leave": s.caseLeave, "restart": s.caseRestart, "kill": s.caseKill, "reset": s.caseReset,
+		"crash": s.caseCrash, "cut": s.caseCut, "beat": s.caseBeat, "leave": s.caseLeave, "lives": s.caseLives, "restart": s.caseRestart, "kill": s.caseKill, "reset": s.caseReset,
 	}
 	f, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/scene-3/worker.go
+++ b/review/scene-3/worker.go
@@ -63,16 +63,39 @@
 	fence    int64
 	changed  chan struct{}
 	gone     bool
+	// leaveOne makes the worker leave the next start order unanswered. It is kept in left, with
+	// the id of the instance that it is for.
+	leaveOne bool
+	left     *lateOrder
+}
+
+// lateOrder is an order that had no answer and is carried out later.
+type lateOrder struct {
+	call workerCall
+	id   string
+	at   time.Duration
 }
 
 // startWorker starts a worker instance that listens at addr and sends its heartbeats to an agent.
 func (s *scene) startWorker(id, addr, agentControl, zone string, labels ...string) *worker {
+	return s.restartWorker(nil, id, addr, agentControl, zone, labels...)
+}
+
+// restartWorker does the same after an earlier instance has left an order unanswered, which is
+// carried out now.
+func (s *scene) restartWorker(late *lateOrder, id, addr, agentControl, zone string, labels ...string) *worker {
 	l, err := net.Listen("tcp", addr)
 	must(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &worker{scene: s, id: id, agentControl: agentControl, zone: zone, labels: labels, listener: l, born: time.Now(), cancel: cancel, state: "ready",
 		runs: map[string]*workerRun{}, ended: map[string]uint32{}, changed: make(chan struct{})}
 	w.server = &http.Server{Handler: w}
+	if late != nil && late.id == id {
+		w.mu.Lock()
+		w.fence = late.call.Fence
+		w.record("worker %s carries out the order to start %s %.3f s late: %q", id, late.call.Task, (w.now() - late.at).Seconds(), w.start(&late.call))
+		w.mu.Unlock()
+	}
 	go func() { _ = w.server.Serve(l) }()
 	go w.beat(ctx)
 	go w.work(ctx)
@@ -199,6 +222,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
+	if w.leaveOne && r.URL.Path == "/-/run-start" {
+		w.leaveOne, w.left = false, &lateOrder{c, r.Header.Get("Expected-Instance"), w.now()}
+		w.record("worker %s leaves the order to start %s, attempt %d, unanswered", w.id, c.Task, c.Attempt)
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if c.Fence < w.fence {
 		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": "fence"})
 		return
