dispatch: Bound the numbers of a job before they are added

All connections of the entry broke off.

Cause: decodeJob compared only the sum of the counts with the limit, and the sum overflows to a negative number. Job.size overflowed in the same way, so the bound on the tasks in progress passed the job too, and newJob allocated tasks in the event loop until the process was killed for its memory.

Change: the limits of a job stand in one place, dispatch.Job.Validate, which bounds each number before it is added.

--- a/abusetest/abuse_test.go
+++ b/abusetest/abuse_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -12,6 +14,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/sesamelift/sesamelift/dispatch"
 )
 
 const (
@@ -57,6 +61,29 @@
 	}
 }
 
+// Guards against an entry that is killed for its memory because of one short job: counts that
+// exceed 64 bits in sum passed its limit, and it allocated tasks until then.
+func TestOddNumbersInAJob(t *testing.T) {
+	const largest = math.MaxInt64
+	i := platformCallers(t)
+	i.answers(t, "before the odd jobs")
+	for n, steps := range []string{
+		fmt.Sprintf(`{"count":1},{"count":%d}`, largest),
+		fmt.Sprintf(`{"count":4096},{"count":%d},{"count":%d}`, largest, largest),
+		fmt.Sprintf(`{"count":%d,"cpu":%d}`, largest, largest),
+		fmt.Sprintf(`{"count":4096,"cpu":%d,"estimate_ms":%d}`, largest, largest),
+		fmt.Sprintf(`{"count":4096,"cpu":%d,"estimate_ms":1}`, dispatch.MaxNeed),
+		fmt.Sprintf(`{"count":4096,"mem_mb":%d,"anti_affinity":%d}`, dispatch.MaxNeed, largest),
+	} {
+		err := i.send(http.MethodPost, i.path(n), i.fields(n), fmt.Appendf(nil, `{"best_effort":true,"steps":[%s]}`, steps))
+		// Before anything else, so that a process without a bound ends soon.
+		memory := i.peakMemory(t)
+		qt.Assert(t, memory <= i.memory, qt.IsTrue, qt.Commentf("%s: peak memory %d MB, limit %d MB", steps, memory>>20, i.memory>>20))
+		qt.Check(t, err, qt.ErrorMatches, "(?s)status (400|503): .*", qt.Commentf("%s", steps))
+		i.answers(t, "after "+steps)
+	}
+}
+
 // load opens the connections of a kind, which stay open until the test ends, and returns
 // the largest number of open descriptors of the process.
 func (i *instance) load(t *testing.T, k kind) int {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -385,6 +385,10 @@
 		s.log(decisions.Info("job submitted again, already in progress", "job", sub.ID))
 		return nil
 	}
+	if err := sub.Validate(); err != nil {
+		s.log(decisions.Warn("job refused", "job", sub.ID, "queue", sub.Queue, "reason", err.Error()))
+		return api.Refuse(api.ReasonMalformed, err.Error())
+	}
 	if v := s.admitTasks(&sub); v != nil {
 		return v
 	}
