dispatch: Leave out work that fits on no worker

What callers saw: ordinary jobs were refused ("the queue is too long to answer in time") with seven eighths of the capacity free, while one job waited whose tasks need more than any worker has. That job was refused only when its time was over, with "no worker has room in time".

Cause: the expected wait adds need times estimate of every waiting task that is served before, as declared. A need within its limit of 2^32 but beyond all workers makes the sum exceed any wait. On x86-64 a quotient beyond 64 bits became negative, so that the job was accepted; arm64 saturates.

Change: tasks beyond the largest capacity of the usable workers count no work, conversions of computed times saturate, and a job that no known worker can run is refused at once with that reason. Workers that are lost, leave or have not reported count as able, and nothing is refused for this reason within a second of the entry's start or of a change of a worker.

Evidence: TestTasksThatFitNowhereDelayNobody, TestExpectedWaitBeyond64Bits and TestJobThatNoWorkerCanRunIsRefusedAtOnce fail when their part of the change is taken out, one at a time. The tests of dispatch and dispatchd pass.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -109,7 +109,7 @@
 		return
 	}
 	if r.Worker != nil {
-		w.state = *r.Worker
+		w.state, s.workerStateAt = *r.Worker, now
 		s.replaceUnsentStarts(now, w)
 		s.zoneReported(now, w)
 		s.byActivation = nil
@@ -164,6 +164,7 @@
 // tasks, after workers may have changed in capacity, speed or connection.
 func (s *Scheduler) workersChanged() {
 	clear(s.maxSpeeds)
+	clear(s.largestCapacities)
 	clear(s.spareWorkers)
 	clear(s.evacuation.runnableUntil)
 	s.placementDue = true
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -266,7 +266,7 @@
 func TestSnapshotKnowsAllReferences(t *testing.T) {
 	known := map[reflect.Type]string{
 		// The options don't change.
-		reflect.TypeFor[Scheduler](): "opts jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds evacuation rates queues spareSpeeds spareWorkers onCandidate onPick",
+		reflect.TypeFor[Scheduler](): "opts jobs workers workersByName byActivation waiting firstSubmissions lastUrgent cachedAnswers cacheOrder lastAttempts attemptOrder commands pending pairs maxSpeeds largestCapacities evacuation rates queues spareSpeeds spareWorkers onCandidate onPick",
 		reflect.TypeFor[worker]():    "state tasks running",
 		reflect.TypeFor[job]():       "Job tasks unfinished",
 		// The steps and the spec of a job don't change.
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/decisions"
+	"github.com/sesamelift/sesamelift/link"
 )
 
 const (
@@ -116,12 +117,12 @@
 			if !known || r <= 0 {
 				continue
 			}
-			wait := time.Duration(ahead[j.Service] / r)
+			wait := toDuration(ahead[j.Service] / r)
 			if float64(j.cutoff-now)*s.opts.Policy.RateMargin < float64(wait) && j.ranStatus() == api.RanNo {
 				refusals = append(refusals, refusal{j, wait})
 				continue
 			}
-			ahead[j.Service] += j.unboundWork()
+			ahead[j.Service] += j.unboundWork(s.largestCapacity(j.Service))
 		}
 	}
 	for _, r := range refusals {
@@ -132,11 +133,12 @@
 	}
 }
 
-// unboundWork returns the work of the job's ready tasks that any worker may run. Tasks that
-// need a label may wait for other workers than those for which the next jobs wait.
-func (j *job) unboundWork() (sum float64) {
+// unboundWork returns the work of the job's ready tasks that any worker with the largest
+// capacity may run. Tasks that need a label may wait for other workers than those for which the
+// next jobs wait.
+func (j *job) unboundWork(largest link.Resources) (sum float64) {
 	for _, t := range j.tasks {
-		if t.phase == ready && t.step().RequiredLabel == "" {
+		if t.phase == ready && t.step().RequiredLabel == "" && t.step().Need.FitsIn(largest) {
 			sum += taskWork(t)
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -38,6 +38,9 @@
 	if v := s.refuseEvacuated(now, j); v != nil {
 		return v
 	}
+	if v := s.refuseUnservable(now, j); v != nil {
+		return v
+	}
 	if total, free := s.capacity(j.Service); now+s.minRunTime(j) > j.dueAt && float64(free) < s.opts.Policy.LateArrivalFreeShare*float64(total) && !s.acceptLate(now, j) {
 		return s.overloadVerdict(minRetryAfter, "too late to be on time, and jobs that can be need the capacity")
 	}
@@ -79,19 +82,19 @@
 	if rate <= 0 {
 		return 0
 	}
-	queuedWork, ownClass := 0.0, s.classify(now, j)
+	queuedWork, ownClass, largest := 0.0, s.classify(now, j), s.largestCapacity(j.Service)
 	for _, queued := range s.waiting {
 		class := s.classify(now, queued)
 		if queued.Service != j.Service || class == late || class > ownClass || class == ownClass && queued.latestStart > j.latestStart {
 			continue
 		}
 		for _, t := range queued.tasks {
-			if t.phase == ready {
+			if t.phase == ready && t.step().Need.FitsIn(largest) {
 				queuedWork += taskWork(t)
 			}
 		}
 	}
-	return time.Duration(queuedWork / rate)
+	return toDuration(queuedWork / rate)
 }
 
 // taskWork returns the declared work of a task, in millicores times nanoseconds.
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -24,7 +24,8 @@
 	c.pending = Actions{}
 	// Nor do they read the sums of pairs, of which there can be thousands.
 	c.pairs = s.pairs.CountedOnly()
-	c.firstSubmissions, c.lastUrgent, c.maxSpeeds = maps.Clone(s.firstSubmissions), maps.Clone(s.lastUrgent), maps.Clone(s.maxSpeeds)
+	c.firstSubmissions, c.lastUrgent = maps.Clone(s.firstSubmissions), maps.Clone(s.lastUrgent)
+	c.maxSpeeds, c.largestCapacities = maps.Clone(s.maxSpeeds), maps.Clone(s.largestCapacities)
 	c.queues, c.spareSpeeds, c.spareWorkers = maps.Clone(s.queues), maps.Clone(s.spareSpeeds), map[string][]*worker{}
 	c.evacuation.since, c.evacuation.unchecked = maps.Clone(s.evacuation.since), maps.Clone(s.evacuation.unchecked)
 	c.evacuation.runnableUntil = maps.Clone(s.evacuation.runnableUntil)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -171,6 +171,10 @@
 	// lastUrgent is when each service last got a job of the highest priority.
 	lastUrgent    map[string]time.Duration
 	refusedStarts int64
+	// workerStateAt is when an agent last reported the state of its worker. unservableRefusals
+	// counts the jobs that were refused because no worker can run them.
+	workerStateAt      time.Duration
+	unservableRefusals int64
 	// leaveMoves counts the tasks that were moved from leaving workers, leaveLosses those
 	// that ended with theirs. nextLeaveReview is when reviewLeaving next looks at them.
 	leaveMoves, leaveLosses int64
@@ -196,10 +200,11 @@
 	// maxRunningKinds bounds the kinds that are kept of a report's Running: an agent reports
 	// those that it suspects and those that are kept apart by the settings.
 	maxRunningKinds int
-	// maxSpeeds caches the result of maxSpeed by service. It is cleared whenever
-	// a worker changes.
-	maxSpeeds  map[string]float64
-	evacuation evacuation
+	// maxSpeeds and largestCapacities cache the results of maxSpeed and largestCapacity by
+	// service. They are cleared whenever a worker changes.
+	maxSpeeds         map[string]float64
+	largestCapacities map[string]link.Resources
+	evacuation        evacuation
 	// rates holds the rate of each service that has waiting jobs. hopelessRefusals counts the
 	// jobs that were refused because of it.
 	rates            map[string]*rate
@@ -237,7 +242,7 @@
 	pairs := interference.NewPool(o.KeepApart...)
 	return &Scheduler{
 		opts: o, jobs: map[string]*job{}, workers: map[string]*worker{},
-		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
+		firstSubmissions: map[string]time.Duration{}, lastUrgent: map[string]time.Duration{}, maxSpeeds: map[string]float64{}, largestCapacities: map[string]link.Resources{}, cachedAnswers: map[string]cachedAnswer{}, lastAttempts: map[string]lastAttempt{}, commands: map[string]*Command{},
 		pairs: pairs, maxRunningKinds: interference.MaxKinds + len(pairs.KeptApartKinds()),
 		rates:  map[string]*rate{},
 		queues: map[queueKey]queueActivity{}, spareSpeeds: map[string]float64{}, spareWorkers: map[string][]*worker{},
@@ -295,6 +300,9 @@
 	HopelessRefusals int64
 	// SpareJobs counts the late jobs that were placed on workers too slow for jobs on time.
 	SpareJobs int64
+	// UnservableRefusals counts the jobs that were refused because no worker can run them,
+	// whatever else it runs.
+	UnservableRefusals int64
 }
 
 // Stats returns the present state.
@@ -302,7 +310,7 @@
 	stats := Stats{
 		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
 		HopelessRefusals: s.hopelessRefusals,
-		SpareJobs:        s.spareJobs,
+		SpareJobs:        s.spareJobs, UnservableRefusals: s.unservableRefusals,
 		EvacuatedZones:   len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
 		InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges,
 	}
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -27,6 +27,7 @@
 	startsRefused, leaveMoves, leaveLosses                  tally.Counter
 	evacuatedZones                                          tally.Gauge
 	evacuationRefusals, hopelessRefusals, spareJobs         tally.Counter
+	unservableRefusals                                      tally.Counter
 	interferingPairs                                        tally.Gauge
 	pairChanges                                             tally.Counter
 	membersRefused                                          tally.Counter
@@ -56,9 +57,9 @@
 		interferingPairs: scope.Gauge("interfering_pairs"), pairChanges: scope.Counter("interfering_pair_changes_total"),
 		evacuatedZones: scope.Gauge("zones_evacuated"), evacuationRefusals: scope.Counter("jobs_refused_evacuated_total"),
 		hopelessRefusals: scope.Counter("jobs_refused_before_cutoff_total"),
-		spareJobs:        scope.Counter("jobs_placed_late_total"),
-		membersRefused:   scope.Counter("members_refused_total"),
-		leaveMoves:       scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
+		spareJobs:        scope.Counter("jobs_placed_late_total"), unservableRefusals: scope.Counter("jobs_refused_unservable_total"),
+		membersRefused: scope.Counter("members_refused_total"),
+		leaveMoves:     scope.Counter("leaving_worker_tasks_moved_total"), leaveLosses: scope.Counter("leaving_worker_tasks_lost_total"),
 		cancelInquiries: scope.Counter("cancel_inquiries_total"), cancelRequests: scope.Counter("cancel_requests_total"),
 		cancelsUnresolved: scope.Counter("cancels_unresolved_total"),
 		eventWait:         scope.Histogram("event_wait_seconds", waitBuckets),
@@ -89,6 +90,7 @@
 	m.leaveLosses.Inc(s.LeaveLosses - last.LeaveLosses)
 	m.hopelessRefusals.Inc(s.HopelessRefusals - last.HopelessRefusals)
 	m.spareJobs.Inc(s.SpareJobs - last.SpareJobs)
+	m.unservableRefusals.Inc(s.UnservableRefusals - last.UnservableRefusals)
 	m.evacuatedZones.Update(float64(s.EvacuatedZones))
 	m.evacuationRefusals.Inc(s.EvacuationRefusals - last.EvacuationRefusals)
 }
