directory, dispatchd: Bound waits before they are multiplied

What was seen: a query for the directory with the largest wait was answered after 0.1 ms in place of 1 s, so that its sender asks without end. An agent that an entry told to come back after the largest Retry-After announced itself again every 50 ms.

The product with the unit is negative and passes the upper bound.

Evidence: TestLongestWaitOfAQuery and TestAnnouncementIsRepeatedAfterRetryAfter with the numbers and fail before the change and pass after it.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -368,7 +368,7 @@
 	if resp.StatusCode != http.StatusOK {
 		err = errors.Errorf("announce to an entry: status %d", resp.StatusCode)
 		if seconds, parseErr := strconv.Atoi(resp.Header.Get("Retry-After")); parseErr == nil && seconds > 0 {
-			retryAfter = min(time.Duration(seconds)*time.Second, AnnounceInterval)
+			retryAfter = time.Duration(min(seconds, int(AnnounceInterval/time.Second))) * time.Second
 		}
 	}
 	return retryAfter, cmp.Or(err, resp.Body.Close())
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -279,8 +279,17 @@
 }
 
 // Guards against members that keep an entry busy which keeps no further member: it would get
-// twenty announcements a second from each.
+// twenty announcements a second from each. A time beyond 64 bits in nanoseconds became negative.
 func TestAnnouncementIsRepeatedAfterRetryAfter(t *testing.T) {
+	for _, retryAfter := range []string{"3", "9223372037", "9223372036854775807"} {
+		t.Run(retryAfter, func(t *testing.T) {
+			t.Parallel()
+			testRetryAfter(t, retryAfter)
+		})
+	}
+}
+
+func testRetryAfter(t *testing.T, retryAfter string) {
 	var full, starting atomic.Int32
 	server := func(count *atomic.Int32, retryAfter string) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -293,7 +302,7 @@
 		t.Cleanup(s.Close)
 		return strings.TrimPrefix(s.URL, "http://")
 	}
-	seeds := []string{server(&full, "3"), server(&starting, "")}
+	seeds := []string{server(&full, retryAfter), server(&starting, "")}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	done, began := make(chan struct{}), time.Now()
--- a/dispatchd/knowledge_test.go
+++ b/dispatchd/knowledge_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -328,3 +329,20 @@
 		}
 	})
 }
+
+// Guards against a peer whose wait exceeds 64 bits in nanoseconds: it became negative, and the
+// peer asked again at once, without end.
+func TestLongestWaitOfAQuery(t *testing.T) {
+	d := newTestDispatcher(t)
+	began := time.Now()
+	// The first query of an entry is answered at once, the next one names what it knows.
+	w := httptest.NewRecorder()
+	d.DirectoryHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, directory.Path, nil))
+	var reply directoryReply
+	qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &reply), qt.IsNil)
+	query := fmt.Sprintf("?config=%s&members=%s&wait_ms=%d", formatVersion(reply.ConfigVersion), reply.MembersRevision, math.MaxInt64)
+	w = httptest.NewRecorder()
+	d.DirectoryHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, directory.Path+query, nil))
+	qt.Assert(t, w.Code, qt.Equals, http.StatusOK)
+	qt.Assert(t, time.Since(began) >= peerWait, qt.IsTrue, qt.Commentf("answered after %v", time.Since(began)))
+}
--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -83,7 +83,7 @@
 			q.evacuations, q.asksEvacuations = version, true
 		}
 		if ms, err := strconv.Atoi(c.QueryParam("wait_ms")); err == nil && ms > 0 {
-			q.wait = min(time.Duration(ms)*time.Millisecond, peerWait)
+			q.wait = time.Duration(min(ms, int(peerWait/time.Millisecond))) * time.Millisecond
 		}
 		reply, err := d.awaitReply(c.Request().Context(), q)
 		if err != nil {
