link: Check the numbers of messages when they are read

What callers could see: a start with a negative need raises the free capacity of a worker, and further starts exceed it; a reported capacity near 2^63 makes the capacity of a service negative, and its jobs are refused.

The decoder of frames bounds lengths, not numbers; entries and agents relied on the checks of the other side.

Change: Welcome, Commands and Report are checked when a frame is read. One that exceeds the limits closes its connection, like a frame that can't be decoded. The limits of a need and of a capacity stand in package link, which all users import.

Evidence: TestNumbersBeyondTheLimitsAreNotRead sets each signed number of each message to both ends of 53 and 64 bits. Without the check all 138 messages are read, with it none. The tests of link, dispatch, runner, runnerd, dispatchd and platform pass.

--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sesamelift/sesamelift/link"
 )
 
 // Limits of a job. The numbers of a job come from its caller, and are added and multiplied
@@ -12,7 +14,7 @@
 	// MaxJobTasks bounds the tasks of a job.
 	MaxJobTasks = 4096
 	// MaxNeed bounds what a task needs of one resource, in the unit of that resource.
-	MaxNeed = 1 << 32
+	MaxNeed = link.MaxNeed
 	// MaxEstimate bounds Step.Estimate.
 	MaxEstimate = time.Hour
 	// MaxDeadline bounds the time between Job.ReceivedAt and Job.Deadline.
--- a/link/frame.go
+++ b/link/frame.go
@@ -76,6 +76,11 @@
 	if len(rest) > 0 {
 		return errors.Errorf("%T has %d extra bytes", m, len(rest))
 	}
+	if v, ok := m.(interface{ validate() error }); ok {
+		if err := v.validate(); err != nil {
+			return errors.Wrapf(err, "%T", m)
+		}
+	}
 	if c, ok := m.(*Commands); ok {
 		return c.unpackSpecs()
 	}
--- a/runner/types.go
+++ b/runner/types.go
@@ -57,8 +57,8 @@
 // Upper bounds of the resources of a worker, far above any real one. Sums over
 // thousands of workers stay within 64 bits.
 const (
-	maxMilliCPU = 1 << 40
-	maxMemoryMB = 1 << 40
+	maxMilliCPU = link.MaxCapacity
+	maxMemoryMB = link.MaxCapacity
 	maxGPU      = 1 << 30
 	// maxLeaves bounds Announcement.Leaves.
 	maxLeaves = 24 * time.Hour
