dispatchd: Answer 410 to the request of a job that is cancelled under way

Cause: the request whose job was cancelled under way got 504, after which its client sends it again to any entry. A request that arrived later already got 410, which is final.

Change: a job that its caller has cancelled ends with a reason of its own, cancelled_by_caller (in place of already_cancelled), and is answered 410 whether or not it has run. One that ends with its entry or its caller's connection is answered as before.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -311,7 +311,7 @@
 		Jobs: len(s.jobs), WaitingJobs: len(s.waiting), RefusedStarts: s.refusedStarts, LeaveMoves: s.leaveMoves, LeaveLosses: s.leaveLosses,
 		HopelessRefusals: s.hopelessRefusals,
 		SpareJobs:        s.spareJobs, UnservableRefusals: s.unservableRefusals,
-		EvacuatedZones:   len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
+		EvacuatedZones: len(s.evacuation.since), EvacuationRefusals: s.evacuation.refusals,
 		InterferingPairs: s.pairs.Counting(), PairChanges: s.pairChanges,
 	}
 	for _, w := range s.workersByName {
@@ -656,14 +656,23 @@
 	}
 }
 
-// Cancel ends a job because its caller cancelled it or disconnected, or because
-// the entry ends. It reports whether the job was in progress.
+// Cancel ends a job because its caller disconnected, or because the entry ends. It reports
+// whether the job was in progress.
 func (s *Scheduler) Cancel(now time.Duration, id, message string) bool {
+	return s.cancel(now, id, api.ReasonCancelled, message)
+}
+
+// CancelByCaller is Cancel for a job that its caller has cancelled by a request of its own.
+func (s *Scheduler) CancelByCaller(now time.Duration, id, message string) bool {
+	return s.cancel(now, id, api.ReasonCancelledByCaller, message)
+}
+
+func (s *Scheduler) cancel(now time.Duration, id string, reason api.Reason, message string) bool {
 	j, ok := s.jobs[id]
 	if !ok {
 		return false
 	}
-	s.finish(now, j, api.Fail(j.ranStatus(), api.ReasonCancelled, message))
+	s.finish(now, j, api.Fail(j.ranStatus(), reason, message))
 	s.placementDue = true
 	return true
 }
--- a/dispatchd/cancel.go
+++ b/dispatchd/cancel.go
@@ -43,8 +43,12 @@
 // job.
 var ErrCancelUnresolved = errors.New("other entries could not be asked whether they run the job")
 
-// cancelledMessage is the message of the answer to a request of a job that is cancelled.
-const cancelledMessage = "the job was cancelled by its caller"
+// Messages of the answer to a request of a job that its caller has cancelled here or at
+// another entry.
+const (
+	cancelledMessage          = "the job was cancelled by its caller"
+	cancelledElsewhereMessage = "the job was cancelled by its caller at another entry"
+)
 
 // cancelRequest asks an entry to cancel those of Jobs that it runs, and tells it that the
 // Cancelled ones have been cancelled, which it isn't to start any more either.
@@ -112,7 +116,7 @@
 // before.
 func (d *Dispatcher) cancelHere(now time.Duration, id, message string) (retention time.Duration, repeated bool) {
 	deadline, ok := d.scheduler.Deadline(id)
-	if !ok || !d.scheduler.Cancel(now, id, message) {
+	if !ok || !d.scheduler.CancelByCaller(now, id, message) {
 		return 0, d.cancelledJobs.Contains(now, id)
 	}
 	retention = max(deadline-now, 0) + d.opts.Timings.LateArrival
@@ -308,7 +312,7 @@
 	var retentions []time.Duration
 	err = d.call(c.Request().Context(), func(now time.Duration) {
 		for _, id := range request.Jobs {
-			retention, repeated := d.cancelHere(now, id, "cancelled by its caller at another entry")
+			retention, repeated := d.cancelHere(now, id, cancelledElsewhereMessage)
 			if retention > 0 {
 				reply.Cancelled, retentions = append(reply.Cancelled, id), append(retentions, retention)
 			} else if repeated {
@@ -316,7 +320,7 @@
 			}
 		}
 		for _, j := range request.Cancelled {
-			d.scheduler.Cancel(now, j.Job, "cancelled by its caller at another entry")
+			d.scheduler.CancelByCaller(now, j.Job, cancelledElsewhereMessage)
 			d.cancelledJobs.Add(now, j.Job, time.Duration(j.ForMS)*time.Millisecond)
 		}
 	})
--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -97,7 +97,7 @@
 	for _, e := range entries {
 		e.assertTold("j1")
 		v := e.Submit(ctx, e.job("j1"), func() bool { return false })
-		e.Assert(v.Reason, qt.Equals, api.ReasonAlreadyCancelled)
+		e.Assert(v.Reason, qt.Equals, api.ReasonCancelledByCaller)
 		e.Assert(v.Ran, qt.Not(qt.Equals), api.RanNo)
 		e.Assert(e.Knows(ctx, "j1"), qt.Equals, e == owner)
 		e.assertCancelled("j1")
@@ -120,6 +120,23 @@
 	other.assertTold("j3")
 }
 
+// Guards against an answer to the request of a cancelled job after which it arrives again: at an
+// entry that doesn't know of the cancelling, the job ran again.
+func TestRequestOfACancelledJobIsAnsweredForGood(t *testing.T) {
+	entries, _ := connectedEntries(t)
+	for _, at := range entries {
+		e := entries[0]
+		answer := make(chan *api.Verdict, 1)
+		go func() {
+			answer <- e.Submit(context.Background(), e.job("j"+fmt.Sprint(at == e)), func() bool { return false })
+		}()
+		e.Assert((<-e.received).Starts, qt.HasLen, 1)
+		at.assertCancelled("j" + fmt.Sprint(at == e))
+		e.Assert((<-answer).Reason, qt.Equals, api.ReasonCancelledByCaller)
+		e.Assert((<-e.received).Stops, qt.HasLen, 1)
+	}
+}
+
 // assertTold waits until the entry knows that a job has been cancelled.
 func (e *runningEntry) assertTold(id string) {
 	e.Helper()
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -490,7 +490,7 @@
 		if d.cancelledJobs.Contains(now, job.ID) {
 			// The request has arrived again, or late.
 			d.opts.Log.Add(decisions.Info("job refused", "job", job.ID, "queue", job.Queue, "reason", cancelledMessage))
-			answer <- api.Fail(api.RanMaybe, api.ReasonAlreadyCancelled, cancelledMessage)
+			answer <- api.Fail(api.RanMaybe, api.ReasonCancelledByCaller, cancelledMessage)
 			return
 		}
 		if v := d.scheduler.Submit(now, job); v != nil {
--- a/dispatchd/metrics.go
+++ b/dispatchd/metrics.go
@@ -44,7 +44,7 @@
 // as "other".
 var countedReasons = []api.Reason{
 	api.ReasonOK, api.ReasonTaskFailed, api.ReasonOverload, api.ReasonDeadlineExceeded, api.ReasonDeadlinePast,
-	api.ReasonCancelled, api.ReasonAlreadyCancelled, api.ReasonDraining,
+	api.ReasonCancelled, api.ReasonCancelledByCaller, api.ReasonDraining,
 }
 
 func newMetrics(scope tally.Scope) metrics {
