dispatchd: Remember cancellations of jobs that no entry runs

What callers saw: a caller whose connection was reset cancelled its job at another entry and was answered 410.

Cause: a cancellation was remembered only if an entry ran the job at that moment; 410 acknowledged one and forgot it.

Change: the entry with the DELETE and those that it asks remember the job for the longest timeout of a queue and the time of late copies, apart from the jobs that ran and with the same bound. A job that is complete keeps its answer.

TestJobThatNobodyRunsStaysCancelled fails when the memory isn't consulted.

--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -355,13 +355,19 @@
 	return j.Deadline, true
 }
 
+// HasAnswer reports whether a job has ended and its answer is still kept.
+func (s *Scheduler) HasAnswer(now time.Duration, id string) bool {
+	cached, ok := s.cachedAnswers[id]
+	return ok && now-cached.answeredAt < answerRetention
+}
+
 // Knows reports whether a task of a job may have started here: the job is in progress, or
 // it has ended and its answer or its attempts are still kept.
 func (s *Scheduler) Knows(now time.Duration, id string) bool {
 	if _, ok := s.jobs[id]; ok {
 		return true
 	}
-	if cached, ok := s.cachedAnswers[id]; ok && now-cached.answeredAt < answerRetention {
+	if s.HasAnswer(now, id) {
 		return true
 	}
 	last, ok := s.lastAttempts[id]
--- a/dispatchd/cancel.go
+++ b/dispatchd/cancel.go
@@ -98,7 +98,11 @@
 func (d *Dispatcher) Cancel(ctx context.Context, id string, arrived time.Duration) (known bool, err error) {
 	var retention time.Duration
 	var repeated bool
-	err = d.call(ctx, func(now time.Duration) { retention, repeated = d.cancelHere(now, id, cancelledMessage) })
+	err = d.call(ctx, func(now time.Duration) {
+		if retention, repeated = d.cancelHere(now, id, cancelledMessage); retention == 0 {
+			d.rememberUnseen(now, id)
+		}
+	})
 	switch {
 	case err != nil:
 		return false, err
@@ -128,6 +132,14 @@
 	return retention, false
 }
 
+// rememberUnseen records that a job which isn't in progress here has been cancelled. Its request
+// may arrive yet, or again. A job that has ended keeps its answer.
+func (d *Dispatcher) rememberUnseen(now time.Duration, id string) {
+	if !d.scheduler.HasAnswer(now, id) {
+		d.cancelledUnseen.Add(now, id, d.routes.LongestTimeout()+d.opts.Timings.LateArrival)
+	}
+}
+
 // tellOthers lets the other entries know that a job has been cancelled. A caller may have
 // submitted it there as well, and its request may arrive there yet. The channel is closed once
 // all of them know it but those that fail to answer.
@@ -351,6 +363,8 @@
 				reply.Cancelled, retentions = append(reply.Cancelled, id), append(retentions, retention)
 			} else if repeated {
 				reply.Repeated = append(reply.Repeated, id)
+			} else {
+				d.rememberUnseen(now, id)
 			}
 		}
 		for _, j := range request.Cancelled {
--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -17,6 +17,7 @@
 	"github.com/sesamelift/sesamelift/api"
 	"github.com/sesamelift/sesamelift/clock"
 	"github.com/sesamelift/sesamelift/directory"
+	"github.com/sesamelift/sesamelift/link"
 )
 
 // addPeer makes another entry known.
@@ -167,6 +168,38 @@
 	owner.Assert(knows(other, "last"), qt.IsTrue)
 }
 
+// Guards against a job that runs although its caller has cancelled it, because its request was
+// on its way or arrived again when the cancelling was acknowledged and no entry ran it.
+func TestJobThatNobodyRunsStaysCancelled(t *testing.T) {
+	entries, _ := connectedEntries(t)
+	ctx, gone := context.WithCancel(context.Background())
+	defer gone()
+	entries[0].submit(ctx, "ended")
+	entries[0].Assert(entries[0].call(ctx, func(now time.Duration) {
+		entries[0].scheduler.Cancel(now, "ended", "its caller's connection was reset")
+	}), qt.IsNil)
+	entries[0].Assert((<-entries[0].received).Stops, qt.HasLen, 1)
+	for _, id := range []string{"new", "ended"} {
+		known, err := entries[1].cancel(id)
+		entries[1].Assert(err, qt.IsNil)
+		entries[1].Assert(known, qt.IsFalse)
+		for _, e := range entries {
+			v := e.Submit(ctx, e.job(id), func() bool { return false })
+			e.Assert(v.Reason, qt.Equals, api.ReasonCancelledByCaller, qt.Commentf("%s", id))
+		}
+	}
+	// A job that is complete keeps its answer.
+	e := entries[0]
+	start := e.submit(ctx, "complete")
+	e.report(e.lastSequence(), &link.Report{Answers: []link.StartAnswer{{Task: start.Task, Attempt: start.Attempt}}, Ends: []link.End{{Task: start.Task, Attempt: start.Attempt}}})
+	for answered := false; !answered; time.Sleep(ms) {
+		e.Assert(e.call(ctx, func(now time.Duration) { answered = e.scheduler.HasAnswer(now, "complete") }), qt.IsNil)
+	}
+	_, err := e.cancel("complete")
+	e.Assert(err, qt.IsNil)
+	e.Assert(e.Submit(ctx, e.job("complete"), func() bool { return false }).Outcome, qt.Equals, api.Complete)
+}
+
 // assertTold waits until the entry knows that a job has been cancelled.
 func (e *runningEntry) assertTold(id string) {
 	e.Helper()
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -166,6 +166,9 @@
 	waiters map[string][]chan *api.Verdict
 	// cancelledJobs are the jobs that callers have cancelled lately. They aren't started again.
 	cancelledJobs *cancellation.Recent
+	// cancelledUnseen are those that no entry ran when the caller cancelled them: their request
+	// may be on its way. They are kept apart, since callers can name any job.
+	cancelledUnseen *cancellation.Recent
 	// lastWake is when the event loop last ran. The process last stood still from
 	// stoodStillFrom until stoodStillUntil.
 	lastWake                        time.Duration
@@ -195,7 +198,7 @@
 		}),
 		agents: map[string]*agent{}, waiters: map[string][]chan *api.Verdict{},
 		cache:   directoryCache{members: map[string]directory.Member{}, announced: map[string]time.Time{}, unlisted: map[string]struct{}{}, changedAt: map[string]uint64{}, changed: make(chan struct{}), peerRevisions: map[string]string{}, membersReadFailing: true, configReadFailing: true},
-		metrics: newMetrics(o.Metrics), inquirer: newInquirer(o.Timings.CancelTimeout), cancelledJobs: cancellation.NewRecent(),
+		metrics: newMetrics(o.Metrics), inquirer: newInquirer(o.Timings.CancelTimeout), cancelledJobs: cancellation.NewRecent(), cancelledUnseen: cancellation.NewRecent(),
 	}
 }
 
@@ -487,7 +490,7 @@
 			answer <- d.refuse(job, api.ReasonCancelled, "the caller has gone before the job was accepted")
 			return
 		}
-		if d.cancelledJobs.Contains(now, job.ID) {
+		if d.cancelledJobs.Contains(now, job.ID) || d.cancelledUnseen.Contains(now, job.ID) {
 			// The request has arrived again, or late.
 			d.opts.Log.Add(decisions.Info("job refused", "job", job.ID, "queue", job.Queue, "reason", cancelledMessage))
 			answer <- api.Fail(api.RanMaybe, api.ReasonCancelledByCaller, cancelledMessage)
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -93,6 +93,17 @@
 	return nil
 }
 
+// LongestTimeout returns the longest time that callers of a queue wait, unless they give a
+// deadline of their own; 0 without a version.
+func (h *Holder) LongestTimeout() (longest time.Duration) {
+	if c := h.Current(); c != nil {
+		for i := range c.Queues {
+			longest = max(longest, c.Queues[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // Match returns the queue of the host with the longest prefix that path begins
 // with, and the rest of the path after the prefix.
 func (h *Holder) Match(host, path string) (*Queue, string, bool) {
