--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -161,3 +161,20 @@
 	}
 	f.Assert(lines, qt.Equals, 2)
 }
+
+// Guards against an announcement of another writer that lacks the zone and ends the evacuation of
+// the worker's zone.
+func TestAnnouncementWithoutAZoneChangesNothing(t *testing.T) {
+	f := newReadyFixture(t)
+	a := announcement(7, false)
+	a.Zone, a.Sequence = "z1", 1
+	f.Assert(f.announce(a), qt.IsTrue)
+	f.evacuated(1, 5, true)
+	odd := a
+	odd.Zone, odd.Sequence = "", 2
+	f.Assert(f.s.WorkerAnnounced(f.now, odd), qt.Equals, AnnouncementIgnored)
+	f.Assert(f.acceptsStart(1, "a"), qt.IsFalse)
+	a.Sequence = 2
+	f.Assert(f.announce(a), qt.IsTrue)
+	f.Assert(f.acceptsStart(1, "b"), qt.IsFalse)
+}
--- a/runner/state.go
+++ b/runner/state.go
@@ -359,6 +359,10 @@
 		return AnnouncementIgnored
 	case !sameInstance:
 		return AnnouncementUnidentified
+	case a.Zone == "" && w.Zone != "":
+		// Put into effect, it would end the evacuation of the worker's zone.
+		s.log(decisions.Warn("ignored an announcement of another writer: it lacks the zone of the worker", "life", a.ID, "zone", w.Zone))
+		return AnnouncementIgnored
 	}
 	s.setWorker(now, a)
 	return AnnouncementAccepted
