dispatchd: Ask for the cancelled jobs at the start of an entry

Cause: cancelled jobs live in the memory of each entry, and one that starts asked nobody.

Change: an entry asks others for the jobs that they remember before it takes its first job, for at most 200 ms; it doesn't wait if all others are down or have just started.

Evidence: TestStartedEntryKnowsCancelledJobs fails when submissions don't wait.

--- a/cancellation/recent.go
+++ b/cancellation/recent.go
@@ -1,6 +1,10 @@
 package cancellation
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// maxRetention limits how long a cancelled job is remembered, whatever its deadline.
@@ -32,5 +36,20 @@
 	}
 }
 
+// List returns up to n jobs that have been cancelled lately, those that are remembered for longest
+// first, with the time that is left.
+func (r *Recent) List(now time.Duration, n int) []Request {
+	var list []Request
+	for job, until := range r.until {
+		if now < until {
+			list = append(list, Request{job, until - now})
+		}
+	}
+	slices.SortFunc(list, func(a, b Request) int {
+		return cmp.Or(cmp.Compare(b.Retention, a.Retention), cmp.Compare(a.Job, b.Job))
+	})
+	return list[:min(len(list), n)]
+}
+
 // Contains reports whether a job has been cancelled lately.
 func (r *Recent) Contains(now time.Duration, job string) bool { return now < r.until[job] }
--- a/dispatchd/cancel.go
+++ b/dispatchd/cancel.go
@@ -66,6 +66,11 @@
 	ForMS int64  `json:"for_ms"`
 }
 
+// odd reports whether the job can't be one of those that entries tell each other of.
+func (j *cancelledJob) odd() bool {
+	return len(j.Job) > maxCancelJobBytes || j.ForMS <= 0 || j.ForMS > maxCancelledMS
+}
+
 type cancelReply struct {
 	// Cancelled are the jobs that the entry ran, Repeated those that it has cancelled before.
 	Cancelled []string `json:"cancelled,omitempty"`
@@ -341,7 +346,7 @@
 			return errors.Wrap(err, "decode request")
 		}
 		tooLong := func(job string) bool { return len(job) > maxCancelJobBytes }
-		odd := func(j cancelledJob) bool { return tooLong(j.Job) || j.ForMS <= 0 || j.ForMS > maxCancelledMS }
+		odd := func(j cancelledJob) bool { return j.odd() }
 		if len(request.Jobs)+len(request.Cancelled) > cancellation.MaxJobs || slices.ContainsFunc(request.Jobs, tooLong) ||
 			slices.ContainsFunc(request.Cancelled, odd) {
 			return errors.Errorf("more than %d jobs, one with more than %d bytes, or one without a time of up to %d ms", cancellation.MaxJobs, maxCancelJobBytes, maxCancelledMS)
--- a/dispatchd/cancel_test.go
+++ b/dispatchd/cancel_test.go
@@ -200,6 +200,72 @@
 	e.Assert(e.Submit(ctx, e.job("complete"), func() bool { return false }).Outcome, qt.Equals, api.Complete)
 }
 
+// Guards against a cancelled job that runs at an entry which has just started: its request was sent
+// again, and the entry hadn't heard of the cancelling.
+func TestStartedEntryKnowsCancelledJobs(t *testing.T) {
+	entries, _ := connectedEntries(t)
+	informed := entries[0]
+	ctx, gone := context.WithCancel(context.Background())
+	defer gone()
+	informed.submit(ctx, "ran")
+	informed.assertCancelled("ran")
+	_, err := informed.cancel("unseen")
+	informed.Assert(err, qt.IsNil)
+	informed.cancelledComplete.Store(true)
+	// A further one has just started too, and another is down.
+	starting, _ := connectedEntries(t)
+	down := httptest.NewServer(http.NotFoundHandler())
+	down.Close()
+	e := startEntry(t)
+	for i, address := range []string{serve(t, informed), serve(t, starting[0]), down.Listener.Addr().String()} {
+		e.addPeer(fmt.Sprint("e", i), address)
+	}
+	e.startedAt = clock.SinceBoot()
+	go e.learnCancelled(ctx)
+	for _, id := range []string{"ran", "unseen"} {
+		v := e.Submit(ctx, e.job(id), func() bool { return false })
+		e.Assert(v.Reason, qt.Equals, api.ReasonCancelledByCaller, qt.Commentf("%s", id))
+	}
+	e.submit(ctx, "other")
+	e.Assert(e.cancelledComplete.Load(), qt.IsTrue)
+}
+
+// serve serves the address for other entries.
+func serve(t *testing.T, e *runningEntry) string {
+	server := httptest.NewServer(e.DirectoryHandler())
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against jobs that are held back for longer than the bound after the start, and against
+// an entry that waits although there is no other one, or all of them have just started.
+func TestStartIsNotDelayedWithoutAnAnswer(t *testing.T) {
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = hung.Close() }()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for _, others := range []string{"none", "started", "hung"} {
+		e := startEntry(t)
+		e.cache.membersRead = true
+		switch others {
+		case "hung":
+			e.addPeer("hung", hung.Addr().String())
+		case "started":
+			for i := range 6 {
+				e.addPeer(fmt.Sprint("e", i), serve(t, startEntry(t)))
+			}
+		}
+		began := clock.SinceBoot()
+		e.startedAt = began
+		go e.learnCancelled(ctx)
+		e.awaitCancelled(ctx)
+		took := clock.SinceBoot() - began
+		e.Check(took >= learnTimeout, qt.Equals, others == "hung", qt.Commentf("%s: %v", others, took))
+		e.submit(ctx, "j")
+	}
+}
+
 // assertTold waits until the entry knows that a job has been cancelled.
 func (e *runningEntry) assertTold(id string) {
 	e.Helper()
--- a/dispatchd/dispatcher.go
+++ b/dispatchd/dispatcher.go
@@ -158,6 +158,10 @@
 
 	// inquirer asks other entries about jobs that callers cancel here.
 	inquirer inquirer
+	// cancelledComplete says that this entry has learnt which jobs were cancelled before its
+	// start, as far as other entries knew. cancelledLearnt is closed then.
+	cancelledComplete atomic.Bool
+	cancelledLearnt   chan struct{}
 
 	// The fields below are accessed by the event loop only.
 	scheduler *dispatch.Scheduler
@@ -192,7 +196,7 @@
 	startedAt := clock.SinceBoot()
 	return &Dispatcher{
 		opts: o, startedAt: startedAt, events: make(chan event, eventQueueSize), queuedSubmissions: map[string]int{},
-		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}), ending: make(chan struct{}),
+		departures: make(chan event, eventQueueSize), stopped: make(chan struct{}), ending: make(chan struct{}), cancelledLearnt: make(chan struct{}),
 		scheduler: dispatch.New(dispatch.Options{
 			RestartDelay: o.Timings.RestartDelay, RackSlowdown: o.RackSlowdown, KeepApart: o.KeepApart, Zone: o.Zone, Seed: o.Incarnation, StartedAt: startedAt, MaxWaitingJobs: maxWaitingJobs, MaxTasks: int(o.WorkBytes / dispatch.TaskBytes),
 		}),
@@ -237,6 +241,7 @@
 	wg.Go(func() { d.watchMembers(helperCtx) })
 	wg.Go(func() { d.watchConfig(helperCtx) })
 	wg.Go(func() { d.pollPeers(helperCtx) })
+	wg.Go(func() { d.learnCancelled(helperCtx) })
 	wg.Go(func() { d.eventLoop(helperCtx) })
 	wg.Go(func() {
 		directory.Register(helperCtx, d.opts.Store, directory.Member{Name: d.opts.Name, Role: directory.RoleEntry, Directory: d.opts.DirectoryAddress}, d.opts.Seeds, d.opts.Timings.StoreAttemptInterval, d.opts.Log)
@@ -482,6 +487,9 @@
 	if d.refusing.Load() {
 		return d.refuse(job, api.ReasonDraining, "the entry is ending")
 	}
+	// Counted before it waits, so that Knows tells of it.
+	d.countQueued(job.ID, 1)
+	d.awaitCancelled(ctx)
 	answer := make(chan *api.Verdict, 1)
 	submitted := newEvent(func(now time.Duration) {
 		d.countQueued(job.ID, -1)
@@ -502,7 +510,6 @@
 		}
 		d.waiters[job.ID] = append(d.waiters[job.ID], answer)
 	})
-	d.countQueued(job.ID, 1)
 	select {
 	case d.events <- submitted:
 	case <-d.stopped:
--- a/dispatchd/peers.go
+++ b/dispatchd/peers.go
@@ -123,6 +123,7 @@
 		return c.NoContent(http.StatusOK)
 	})
 	e.POST(CancelPath, d.handleCancel)
+	e.GET(CancelPath, d.handleCancelledList)
 	return e
 }
 
