cancellation: List the last cancelled jobs without sorting

An entry that starts asks for the list, and the event loop of the one that answers makes it. Sorting up to 65,536 jobs there would hold up all its jobs; the order in which they were added is kept anyway. TestRecentCancellations checks the list.

--- a/cancellation/cancellation_test.go
+++ b/cancellation/cancellation_test.go
@@ -249,6 +249,9 @@
 	r.Add(2*time.Second, "b", 24*time.Hour)
 	qt.Check(t, r.Contains(maxRetention, "b"), qt.IsTrue)
 	qt.Check(t, r.Contains(maxRetention+2*time.Second, "b"), qt.IsFalse)
+	qt.Check(t, r.List(3*time.Second, 1), qt.DeepEquals, []Request{{"b", maxRetention - time.Second}})
+	qt.Check(t, r.List(3*time.Second, 9), qt.DeepEquals, []Request{{"b", maxRetention - time.Second}, {"a", 8 * time.Second}})
+	qt.Check(t, r.List(12*time.Second, 9), qt.HasLen, 1)
 	for n := range maxRecent {
 		r.Add(time.Second, fmt.Sprint(n), time.Second)
 	}
--- a/cancellation/recent.go
+++ b/cancellation/recent.go
@@ -1,7 +1,6 @@
 package cancellation
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -36,19 +35,19 @@
 	}
 }
 
-// List returns up to n jobs that have been cancelled lately, those that are remembered for longest
-// first, with the time that is left.
+// List returns up to n jobs that have been cancelled lately, the last one first, with the time that
+// is left.
 func (r *Recent) List(now time.Duration, n int) []Request {
 	var list []Request
-	for job, until := range r.until {
-		if now < until {
+	for _, job := range slices.Backward(r.order) {
+		if len(list) == n {
+			break
+		}
+		if until := r.until[job]; now < until {
 			list = append(list, Request{job, until - now})
 		}
 	}
-	slices.SortFunc(list, func(a, b Request) int {
-		return cmp.Or(cmp.Compare(b.Retention, a.Retention), cmp.Compare(a.Job, b.Job))
-	})
-	return list[:min(len(list), n)]
+	return list
 }
 
 // Contains reports whether a job has been cancelled lately.
--- a/dispatchd/learn.go
+++ b/dispatchd/learn.go
@@ -29,8 +29,8 @@
 	learnRetryInterval  = 5 * time.Millisecond
 	// learnPeers is the number of entries that are asked at once.
 	learnPeers = 4
-	// maxListed limits the cancelled jobs in an answer; those that are remembered for longest
-	// are listed. maxListBytes limits the answer.
+	// maxListed limits the cancelled jobs of each kind in an answer; the last ones are listed.
+	// maxListBytes limits the answer.
 	maxListed    = 8192
 	maxListBytes = 2 << 20
 )
