entry: Wait for the configuration before the entry is ready

What callers saw: a job of a known service was answered 404 unknown_service by an entry of the product's own interface that had just become ready.

Cause: readiness waited for the registered agents, not for the configuration, which another goroutine reads.

TestEntryWithoutAConfigurationIsNotReady fails before and passes after; the tests of entry pass with the race detector.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sesamelift/sesamelift/api"
+	"github.com/sesamelift/sesamelift/config"
 	"github.com/sesamelift/sesamelift/jobs"
 	"github.com/sesamelift/sesamelift/wire"
 )
@@ -354,6 +355,28 @@
 	qt.Assert(t, []any{code, ans.Reason, ans.Ran}, qt.DeepEquals, []any{422, api.ReasonNoWorker, api.RanMaybe})
 }
 
+// Guards against an entry that is ready before it has read the configuration: jobs of known
+// services were refused as unknown.
+func TestEntryWithoutAConfigurationIsNotReady(t *testing.T) {
+	t.Parallel()
+	n := newCluster(t).start("e1")
+	eventually(t, "the entry is ready", func() bool { return n.NotReadyReason() == "" })
+	ready, ok := postAndWait(context.Background(), n.Entry, func(ls *loopState) [3]bool {
+		read, deadline := ls.config, ls.readyDeadline
+		check := func(c *config.Config, left time.Duration) bool {
+			ls.ready, ls.config, ls.readyDeadline = false, c, ls.now().Add(left)
+			ls.checkReady()
+			return ls.ready
+		}
+		// At last as it was.
+		result := [3]bool{check(&config.Config{}, time.Hour), check(&config.Config{}, 0), check(read, time.Hour)}
+		ls.readyDeadline = deadline
+		return result
+	})
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, ready, qt.Equals, [3]bool{false, true, true})
+}
+
 // Guards against an admitted job that loses tasks because the queue, which
 // holds the tasks of all services, is full while the limit of each service is
 // not reached.
--- a/entry/readiness.go
+++ b/entry/readiness.go
@@ -15,9 +15,9 @@
 	serviceReportTimeout = 2 * time.Second
 )
 
-// checkReady makes the entry ready once the registered agents have connected and
-// named their services, or readyDeadline has passed, so that a restarted entry does
-// not refuse jobs because no worker is known yet.
+// checkReady makes the entry ready once it has a configuration and the registered agents
+// have connected and named their services, or readyDeadline has passed, so that a restarted
+// entry does not refuse jobs because their service or its workers are not known yet.
 func (ls *loopState) checkReady() {
 	if ls.ready || !ls.agentsRead || ls.draining || ls.removed {
 		return
@@ -28,7 +28,7 @@
 			serving++
 		}
 	}
-	if serving >= ls.registeredAgents || !ls.now().Before(ls.readyDeadline) {
+	if ls.config.Version > 0 && serving >= ls.registeredAgents || !ls.now().Before(ls.readyDeadline) {
 		ls.ready = true
 		ls.e.notReady.Store("")
 		ls.e.log.WithField("workers", len(ls.agentByWorker)).WithField("serving", serving).Info("ready")
