dispatchd: Log when the cancelled jobs aren't learnt at the start

The errors of the requests were dropped, so that an operator couldn't tell an entry that knows the cancelled jobs from one that had no answer. One line after the start, and one for each later question without an answer. Found by reading the change; the tests of cancellations pass with the race detector.

--- a/dispatchd/learn.go
+++ b/dispatchd/learn.go
@@ -75,7 +75,16 @@
 func (d *Dispatcher) learnCancelled(ctx context.Context) {
 	end := d.startedAt + learnTimeout
 	uninformed := map[string]bool{}
-	for clock.SinceBoot() < end && !d.learnFromSome(ctx, uninformed) && sleep(ctx, learnRetryInterval) {
+	done, err := d.learnFromSome(ctx, uninformed)
+	for !done && clock.SinceBoot() < end && sleep(ctx, learnRetryInterval) {
+		done, err = d.learnFromSome(ctx, uninformed)
+	}
+	if !done {
+		reason := "no other entry is known"
+		if err != nil {
+			reason = err.Error()
+		}
+		d.opts.Log.Add(decisions.Warn("jobs are accepted without knowing the cancelled ones", "asked_entries", len(uninformed), "reason", reason))
 	}
 	d.cancelledComplete.Store(true)
 	close(d.cancelledLearnt)
@@ -83,19 +92,21 @@
 		if !sleep(ctx, wait) {
 			return
 		}
-		d.learnFromSome(ctx, map[string]bool{})
+		if done, err := d.learnFromSome(ctx, map[string]bool{}); !done && err != nil {
+			d.opts.Log.Add(decisions.Warn("cannot ask for the cancelled jobs again", "error", err.Error()))
+		}
 	}
 }
 
 // learnFromSome asks a few entries at random, apart from those that are known to be uninformed,
 // to which it adds. It reports whether nothing more is to be learnt: an informed entry has
-// answered, or no other one remains.
-func (d *Dispatcher) learnFromSome(ctx context.Context, uninformed map[string]bool) bool {
+// answered, or no other one remains. The error is that of an entry that has not answered.
+func (d *Dispatcher) learnFromSome(ctx context.Context, uninformed map[string]bool) (done bool, err error) {
 	addresses := slices.DeleteFunc(d.otherEntries(), func(address string) bool { return uninformed[address] })
 	if len(addresses) == 0 {
 		d.cache.mu.Lock()
 		defer d.cache.mu.Unlock()
-		return d.cache.membersRead
+		return d.cache.membersRead, nil
 	}
 	rand.Shuffle(len(addresses), func(i, k int) { addresses[i], addresses[k] = addresses[k], addresses[i] })
 	addresses = addresses[:min(len(addresses), learnPeers)]
@@ -104,6 +115,7 @@
 	type answer struct {
 		address              string
 		informed, uninformed bool
+		err                  error
 	}
 	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
@@ -111,17 +123,19 @@
 			list, err := d.requestCancelledList(ctx, address)
 			known := err == nil && d.rememberCancelled(ctx, address, list)
 			// An entry that refuses connections is down, and knows nothing once it is back.
-			answers <- answer{address, known && list.Complete, known && !list.Complete || errors.Is(err, syscall.ECONNREFUSED)}
+			answers <- answer{address, known && list.Complete, known && !list.Complete || errors.Is(err, syscall.ECONNREFUSED), err}
 		}()
 	}
 	for range addresses {
 		a := <-answers
 		if a.informed {
-			return true
+			return true, nil
+		}
+		if uninformed[a.address] = a.uninformed; a.err != nil {
+			err = a.err
 		}
-		uninformed[a.address] = a.uninformed
 	}
-	return false
+	return false, err
 }
 
 func (d *Dispatcher) requestCancelledList(ctx context.Context, address string) (list cancelledList, err error) {
